Core keeps the fleet on disk; feeds are followed again sooner

Cause: after a loss of power the edge stood without servers until a duty holder had claimed a new term (1.2 s) and had read the platform's list, and telegraphs waited 150 ms between tries. The worst window was the one after the closing fault. Ruled out: the log's replay (a few ms), the edge's own start (0.3 s). Change: the last reading of the fleet is a record of the log and is told at once after a start; the first in the duty's order does not wait; follow pause 60 ms.

--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -84,7 +84,7 @@
 	go settings.Watch(inner, path, func(changed *settings.Settings) { p.set.Store(changed) }, func(err error) { note("warn", "settings", "error", err) })
 	go p.loop.Run(inner, p.learn, 0, nil)
 	follower := feed.Follower{
-		Name: "points", Pause: 100 * time.Millisecond, Take: p.loop.Put,
+		Name: "points", Pause: 50 * time.Millisecond, Take: p.loop.Put,
 		Line: signal.NewLine(telegraph.LoopbackAddress(set), coreConnect, coreSilence),
 	}
 	go follower.Run(inner)
@@ -141,7 +141,11 @@
 	if p.board.View.Epoch > next.view.Epoch {
 		next.view = p.board.View
 	}
+	wasReady := p.isReady()
 	p.sight.Store(&next)
+	if !wasReady && p.isReady() {
+		p.note("info", "ready", "lanes", next.sheet.Lanes, "servers", next.yard.Size())
+	}
 }
 
 func (p *proxy) isReady() bool {
--- a/internal/signal/line.go
+++ b/internal/signal/line.go
@@ -13,6 +13,8 @@
 // received is not known.
 const ErrCut = errors.ConstError("the line is cut")
 
+const redialPause = 50 * time.Millisecond
+
 // Line is a connection to another process that is made when it is needed and
 // made again after it broke. Calls are numbered; replies come to closures.
 type Line struct {
@@ -147,7 +149,7 @@
 	queued := l.queued
 	l.queued = nil
 	if err != nil {
-		l.retryAt = time.Now().Add(100 * time.Millisecond)
+		l.retryAt = time.Now().Add(redialPause)
 		l.fail()
 		return
 	}
--- a/internal/signalbox/box.go
+++ b/internal/signalbox/box.go
@@ -152,8 +152,8 @@
 // announce puts what the disk held into the feed.
 func (b *box) announce() {
 	b.keeper.read(func(t *tables) {
-		view := t.view
-		b.hub.Publish(feed.News{Items: t.book.Items(), View: &view})
+		view, fleet := t.view, t.fleet
+		b.hub.Publish(feed.News{Items: t.book.Items(), View: &view, Fleet: &fleet})
 	})
 }
 
--- a/internal/signalbox/duty.go
+++ b/internal/signalbox/duty.go
@@ -65,8 +65,9 @@
 		b.isHolder.Store(false)
 	default:
 		b.isHolder.Store(false)
-		// A start waits until it could have heard of the others.
-		if b.clock.Steady()-b.began < timetable.Steady(b.set.Load().Tuning.SilentAfter) && term.Holder != "" && term.Holder != b.self {
+		// At a start, only the first in the order need not wait until it
+		// could have heard of those before it.
+		if view.Members[0] != b.self && b.clock.Steady()-b.began < timetable.Steady(b.set.Load().Tuning.SilentAfter) {
 			return
 		}
 		go b.claim(view, roster.Term{Number: term.Number + 1, Holder: b.self})
@@ -91,6 +92,7 @@
 		return
 	}
 	b.myTerm.Store(term.Number)
+	b.note("info", "the duty is here", "term", term.Number)
 }
 
 // onBeat hears a member, and takes from it what is newer: the view, the term,
--- a/internal/signalbox/handlers.go
+++ b/internal/signalbox/handlers.go
@@ -140,8 +140,11 @@
 func (b *box) onFleet(in feed.Fleet, answer func(telegram.Done)) {
 	isFresh := false
 	b.keeper.put(func(t *tables) []record {
-		isFresh = in.Term >= t.term.Number
-		return nil
+		if isFresh = in.Term >= t.term.Number; !isFresh || !in.Outranks(t.fleet) {
+			return nil
+		}
+		t.fleet = in
+		return []record{{Fleet: &in}}
 	}, func() {
 		if isFresh {
 			b.hub.Publish(feed.News{Fleet: &in})
--- a/internal/signalbox/keeper.go
+++ b/internal/signalbox/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"ploverhitch/internal/ballast"
+	"ploverhitch/internal/feed"
 	"ploverhitch/internal/ledger"
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/roster"
@@ -24,15 +25,19 @@
 	View     *roster.View     `cbor:"4,keyasint,omitempty"`
 	Term     *roster.Term     `cbor:"5,keyasint,omitempty"`
 	Trusted  *bool            `cbor:"6,keyasint,omitempty"`
+	Fleet    *feed.Fleet      `cbor:"7,keyasint,omitempty"`
 }
 
 // tables is everything that is kept; the keeper alone touches it.
 type tables struct {
-	voter     *ledger.Voter
-	book      manifest.Book
-	acceptor  roster.Acceptor
-	view      roster.View
-	term      roster.Term
+	voter    *ledger.Voter
+	book     manifest.Book
+	acceptor roster.Acceptor
+	view     roster.View
+	term     roster.Term
+	// fleet is kept so that a core that lost its power can tell at once which
+	// servers there were.
+	fleet     feed.Fleet
 	isTrusted bool
 	isEmpty   bool
 	digest    string
@@ -58,6 +63,8 @@
 		}
 	case r.Term != nil:
 		t.term = *r.Term
+	case r.Fleet != nil:
+		t.fleet = *r.Fleet
 	case r.Trusted != nil:
 		t.isTrusted = *r.Trusted
 	}
@@ -80,7 +87,8 @@
 // records is enough to make the tables again.
 func (t *tables) records() (out []record) {
 	view, term, acceptor, isTrusted := t.view, t.term, t.acceptor, t.isTrusted
-	out = append(out, record{View: &view}, record{Term: &term}, record{Acceptor: &acceptor}, record{Trusted: &isTrusted})
+	fleet := t.fleet
+	out = append(out, record{View: &view}, record{Term: &term}, record{Acceptor: &acceptor}, record{Trusted: &isTrusted}, record{Fleet: &fleet})
 	if len(t.book) > 0 {
 		out = append(out, record{Items: t.book.Items()})
 	}
--- a/internal/signalbox/settle.go
+++ b/internal/signalbox/settle.go
@@ -60,6 +60,7 @@
 func (b *box) distrust() { b.setTrust(false) }
 
 func (b *box) setTrust(isTrusted bool) {
+	b.note("info", "trust", "trusted", isTrusted)
 	b.keeper.keep(func(t *tables) []record {
 		if t.isTrusted == isTrusted && !t.isEmpty {
 			return nil
--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -19,7 +19,7 @@
 const (
 	connectSpan = 500 * time.Millisecond
 	silenceSpan = 2 * time.Second
-	followPause = 150 * time.Millisecond
+	followPause = 60 * time.Millisecond
 	lookPeriod  = 250 * time.Millisecond
 )
 
@@ -43,6 +43,7 @@
 	heard map[string]bool
 	began timetable.Steady
 	whole bool
+	note  Note
 	next  chan *settings.Settings
 }
 
@@ -61,7 +62,7 @@
 func Run(ctx context.Context, set *settings.Settings, path string, note Note) error {
 	d := &desk{
 		set: set, clock: timetable.Real(), hub: feed.NewHub(), loop: timetable.NewLoop[told](256),
-		following: map[string]context.CancelFunc{}, heard: map[string]bool{}, next: make(chan *settings.Settings, 1),
+		note: note, following: map[string]context.CancelFunc{}, heard: map[string]bool{}, next: make(chan *settings.Settings, 1),
 	}
 	d.began = d.clock.Steady()
 	listener, err := net.Listen("tcp4", LoopbackAddress(set))
@@ -109,6 +110,7 @@
 	// node tells is better than serving nobody.
 	isLate := d.clock.Steady()-d.began > timetable.Steady(d.set.Platform.Bounds.Contact) && len(d.heard) > 0
 	if d.whole = isMajority || isLate; d.whole {
+		d.note("info", "the news is whole", "heard", count, "late", isLate)
 		d.hub.Publish(feed.News{IsWhole: true})
 	}
 }
