--- /dev/null
+++ b/internal/ballast/ballast_test.go
@@ -0,0 +1,100 @@
+package ballast_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/ballast"
+	"ploverhitch/internal/standin"
+)
+
+func TestBallast(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ballast")
+}
+
+func open(disk ballast.Disk) (*ballast.Log, []string, error) {
+	var read []string
+	log, err := ballast.Open(disk, func(record []byte) error {
+		read = append(read, string(record))
+		return nil
+	})
+	return log, read, err
+}
+
+var _ = Describe("the log", func() {
+	It("keeps what Append returned for, through losses of power and refusing disks", func() {
+		for seed := range uint64(150) {
+			random := rand.New(rand.NewPCG(seed, 7))
+			disk := standin.NewDisk(random)
+			log, _, err := open(disk)
+			Expect(err).NotTo(HaveOccurred())
+			// The plain model: all that was offered, and how much of it is kept.
+			var offered []string
+			kept := 0
+			for step := range 120 {
+				switch draw := random.IntN(20); {
+				case draw < 14:
+					offered = append(offered, strconv.Itoa(step))
+					disk.IsRefusing = random.IntN(6) == 0
+					var batch [][]byte
+					for _, record := range offered[kept:] {
+						batch = append(batch, []byte(record))
+					}
+					if log.Append(batch) == nil {
+						kept = len(offered)
+					}
+					disk.IsRefusing = false
+				case draw < 16 && kept == len(offered):
+					if write, err := log.Roll(); err == nil {
+						var all [][]byte
+						for _, record := range offered {
+							all = append(all, []byte(record))
+						}
+						Expect(write(all)).To(Succeed())
+					}
+				case draw >= 18:
+					disk.LosePower()
+					var read []string
+					log, read, err = open(disk)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(len(read)).To(BeNumerically(">=", kept))
+					Expect(read).To(HaveExactElements(offered[:len(read)]))
+					offered, kept = offered[:len(read)], len(read)
+				}
+			}
+		}
+	})
+
+	It("reports records that were kept and cannot be read", func() {
+		disk := standin.NewDisk(rand.New(rand.NewPCG(1, 1)))
+		log, _, err := open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Append([][]byte{[]byte("one"), []byte("two")})).To(Succeed())
+		_, _, err = open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		disk.Spoil("segment-0000000000000001", 9)
+		_, _, err = open(disk)
+		Expect(err).To(MatchError(ballast.ErrCorrupt))
+	})
+
+	It("works on a real folder", func() {
+		disk, err := ballast.Folder(GinkgoT().TempDir())
+		Expect(err).NotTo(HaveOccurred())
+		log, _, err := open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Append([][]byte{[]byte("kept")})).To(Succeed())
+		write, err := log.Roll()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Append([][]byte{[]byte("later")})).To(Succeed())
+		Expect(write([][]byte{[]byte("checkpoint")})).To(Succeed())
+		_, read, err := open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read).To(Equal([]string{"checkpoint", "later"}))
+		Expect(disk.List()).To(ContainElement("checkpoint-0000000000000002"))
+	})
+})
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,303 @@
+package ledger_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/timetable"
+)
+
+func TestLedger(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ledger")
+}
+
+// node is one core node of the simulation: what it tells came from its kept
+// entries, so a restart reads those again.
+type node struct {
+	voter     *ledger.Voter
+	kept      []ledger.Entry
+	isDown    bool
+	isTrusted bool
+}
+
+func policy() ledger.Policy {
+	return ledger.Policy{OpenLimit: 1000, Retention: time.Hour, KeyWindow: time.Minute, Margin: time.Second}
+}
+
+func (n *node) keep(entry *ledger.Entry) {
+	if entry != nil {
+		n.kept = append(n.kept, *entry)
+	}
+}
+
+func (n *node) restart() {
+	n.voter = ledger.NewVoter(policy())
+	for _, entry := range n.kept {
+		_ = n.voter.Apply(entry)
+	}
+}
+
+// world is three nodes and the proxies' tries, with the plain model beside
+// them: how often each key ran, and what its first run answered.
+type world struct {
+	random *rand.Rand
+	nodes  []*node
+	tries  int
+	runs   map[string]int
+	first  map[string]string
+	open   []*try
+}
+
+type try struct {
+	intent  ledger.Intent
+	round   *ledger.Round
+	unasked []int
+	isOver  bool
+}
+
+func (w *world) start() *try {
+	w.tries++
+	name := fmt.Sprint("try", w.tries)
+	t := &try{unasked: w.random.Perm(len(w.nodes))}
+	t.intent = ledger.Intent{
+		Key: ledger.Key{Tenant: "host", Key: fmt.Sprint(w.random.IntN(8))}, Attempt: ledger.Attempt(name),
+		Lane: "lane", Reservation: name, State: ledger.Reserved, CreatedMs: 1_000_000_000,
+	}
+	t.round = ledger.NewRound(t.intent.Hash, len(w.nodes), 0, 100)
+	return t
+}
+
+// advance asks one more node, and acts on what the round comes to.
+func (w *world) advance(t *try) {
+	if len(t.unasked) > 0 {
+		n := w.nodes[t.unasked[0]]
+		t.unasked = t.unasked[1:]
+		if n.isDown || !n.isTrusted {
+			t.round.On(nil)
+		} else {
+			ballot, entry := n.voter.Reserve(t.intent)
+			n.keep(entry)
+			if w.random.IntN(8) == 0 {
+				t.round.On(nil) // the vote was kept, and its reply was lost
+			} else {
+				t.round.On(&ballot)
+			}
+		}
+	}
+	key := t.intent.Key.Key
+	switch t.round.Standing(50) {
+	case ledger.Undecided:
+		return
+	case ledger.Won:
+		w.runs[key]++
+		answer := fmt.Sprint("answer of ", t.intent.Attempt)
+		if w.first[key] == "" {
+			w.first[key] = answer
+		}
+		switch w.random.IntN(4) {
+		case 0: // the proxy dies: nothing is recorded
+		case 1:
+			t.intent.State = ledger.TimeoutUnresolved
+			w.record(t.intent)
+		default:
+			t.intent.State, t.intent.Reply = ledger.Completed, &ledger.Reply{Status: 200, Seal: answer}
+			w.record(t.intent)
+		}
+	case ledger.Replayable:
+		Expect(t.round.Terminal().Reply.Seal).To(Equal(w.first[key]))
+		fallthrough
+	default:
+		t.intent.State = ledger.Released
+		w.record(t.intent)
+	}
+	t.isOver = true
+}
+
+func (w *world) record(intent ledger.Intent) {
+	for _, n := range w.nodes {
+		if !n.isDown && w.random.IntN(6) > 0 {
+			entry, err := n.voter.Record(intent)
+			Expect(err).NotTo(HaveOccurred())
+			n.keep(entry)
+		}
+	}
+}
+
+// trouble restarts a node, or wipes one and rebuilds it from all the others
+// once every round that could count its old votes is over.
+func (w *world) trouble() {
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	if w.random.IntN(2) == 0 {
+		n.restart()
+		return
+	}
+	for _, other := range w.nodes {
+		if other.isDown || !other.isTrusted {
+			return
+		}
+	}
+	n.kept = nil
+	n.restart()
+	n.isTrusted = false
+	for _, t := range w.open {
+		for !t.isOver {
+			w.advance(t)
+		}
+	}
+	for _, other := range w.nodes {
+		if other != n {
+			for _, entry := range n.voter.Union(other.voter.Entries()) {
+				n.keep(&entry)
+			}
+		}
+	}
+	n.isTrusted = true
+}
+
+var _ = Describe("intents by vote", func() {
+	It("run a key once and replay its first answer, whatever is lost", func() {
+		won, replayed := 0, 0
+		for seed := range uint64(400) {
+			w := &world{random: rand.New(rand.NewPCG(seed, 3)), runs: map[string]int{}, first: map[string]string{}}
+			for range 3 {
+				n := &node{isTrusted: true}
+				n.restart()
+				w.nodes = append(w.nodes, n)
+			}
+			for range 200 {
+				switch draw := w.random.IntN(20); {
+				case draw < 5:
+					w.open = append(w.open, w.start())
+				case draw == 18:
+					down := w.nodes[0]
+					down.isDown = !down.isDown
+				case draw == 19:
+					w.trouble()
+				case len(w.open) > 0:
+					t := w.open[w.random.IntN(len(w.open))]
+					if !t.isOver {
+						w.advance(t)
+					}
+				}
+			}
+			for key, count := range w.runs {
+				Expect(count).To(Equal(1), "seed %d, key %s", seed, key)
+				won++
+			}
+			for _, t := range w.open {
+				if t.isOver && t.round.Terminal() != nil {
+					replayed++
+				}
+			}
+		}
+		Expect(won).To(BeNumerically(">", 1000))
+		Expect(replayed).To(BeNumerically(">", 500))
+	})
+
+	It("count nothing that came after the round's span", func() {
+		round := ledger.NewRound(ledger.Hash{}, 3, 0, timetable.Steady(100))
+		round.On(&ledger.Ballot{Verdict: ledger.Granted})
+		round.On(&ledger.Ballot{Verdict: ledger.Granted})
+		Expect(round.Standing(100)).To(Equal(ledger.Won))
+		Expect(round.Standing(101)).To(Equal(ledger.NoMajority))
+	})
+
+	It("reject another inquiry under a used key", func() {
+		voter := ledger.NewVoter(policy())
+		one := ledger.Intent{Attempt: "a", Reservation: "a", Hash: ledger.HashOf("POST", "/x", []byte("1"))}
+		ballot, _ := voter.Reserve(one)
+		Expect(ballot.Verdict).To(Equal(ledger.Granted))
+		other := ledger.Intent{Attempt: "b", Reservation: "b", Hash: ledger.HashOf("POST", "/x", []byte("2"))}
+		ballot, entry := voter.Reserve(other)
+		Expect(entry).To(BeNil())
+		round := ledger.NewRound(other.Hash, 1, 0, 1)
+		round.On(&ballot)
+		Expect(round.Standing(0)).To(Equal(ledger.Conflicting))
+	})
+})
+
+var _ = Describe("quota", func() {
+	It("is what a plain count over the intents comes to, at every step", func() {
+		random := rand.New(rand.NewPCG(9, 9))
+		voter := ledger.NewVoter(policy())
+		state := map[string]ledger.State{}
+		consumed := 0
+		for step := range 3000 {
+			key := fmt.Sprint(random.IntN(30))
+			intent := ledger.Intent{Key: ledger.Key{Key: key}, Attempt: ledger.Attempt(key), Reservation: fmt.Sprint(key, "/", step), Lane: "lane", CreatedMs: 5}
+			if held := voter.Find(intent.Key); held != nil {
+				intent.Reservation = held.Reservation
+			}
+			to := ledger.State(1 + random.IntN(5))
+			if to == ledger.Reserved {
+				if ballot, _ := voter.Reserve(intent); ballot.Verdict == ledger.Granted && state[key] == ledger.Absent {
+					state[key] = ledger.Reserved
+				}
+			} else if intent.State = to; ledger.MayFollow(state[key], to) && state[key] != ledger.Absent {
+				_, err := voter.Record(intent)
+				Expect(err).NotTo(HaveOccurred())
+				if state[key] = to; to == ledger.Released {
+					delete(state, key)
+				} else if to == ledger.Completed {
+					consumed++
+				}
+			}
+			open := 0
+			for _, s := range state {
+				if s.IsOpen() {
+					open++
+				}
+			}
+			Expect(voter.Quota().Open("lane")).To(Equal(open))
+			Expect(voter.Quota().Consumed("lane")).To(Equal(consumed))
+		}
+	})
+
+	It("bounds the open intents of a lane, and frees what is released", func() {
+		voter := ledger.NewVoter(ledger.Policy{OpenLimit: 1, KeyWindow: time.Minute})
+		first := ledger.Intent{Key: ledger.Key{Key: "1"}, Attempt: "1", Reservation: "1", Lane: "lane"}
+		second := ledger.Intent{Key: ledger.Key{Key: "2"}, Attempt: "2", Reservation: "2", Lane: "lane"}
+		ballot, _ := voter.Reserve(first)
+		Expect(ballot.Verdict).To(Equal(ledger.Granted))
+		ballot, _ = voter.Reserve(second)
+		Expect(ballot.Verdict).To(Equal(ledger.OverLimit))
+		first.State = ledger.Released
+		_, err := voter.Record(first)
+		Expect(err).NotTo(HaveOccurred())
+		ballot, _ = voter.Reserve(second)
+		Expect(ballot.Verdict).To(Equal(ledger.Granted))
+	})
+})
+
+var _ = Describe("retention", func() {
+	It("forgets the oldest ends first, and nothing inside the key window", func() {
+		voter := ledger.NewVoter(ledger.Policy{Retention: time.Hour, KeyWindow: time.Minute, Bytes: 1})
+		at := func(s int64) time.Time { return time.UnixMilli(s * 1000) }
+		for i := range int64(3) {
+			name := fmt.Sprint(i)
+			intent := ledger.Intent{Key: ledger.Key{Key: name}, Attempt: ledger.Attempt(name), Reservation: name, Lane: "lane", CreatedMs: i * 30_000}
+			voter.Reserve(intent)
+			if i != 1 {
+				intent.State, intent.Reply = ledger.Completed, &ledger.Reply{Status: 200}
+				_, err := voter.Record(intent)
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		Expect(voter.Tend(at(59))).To(BeEmpty())
+		Expect(voter.Entries()).To(HaveLen(3))
+		Expect(voter.Tend(at(61))).To(BeEmpty())
+		Expect(voter.Find(ledger.Key{Key: "0"})).To(BeNil())
+		entries := voter.Tend(at(91))
+		Expect(entries).To(HaveLen(1))
+		Expect(entries[0].Intent.State).To(Equal(ledger.Expired))
+		Expect(voter.Find(ledger.Key{Key: "2"})).NotTo(BeNil())
+		Expect(voter.Quota().Open("lane")).To(Equal(0))
+	})
+})
