Tests of every package, and of the whole system on loopback against stand-ins

A restarted node's old connections outlived its listener, and two goroutines shared a variable in the pull of a manifest: both found by the new test, both mended.

--- /dev/null
+++ b/internal/coupling/coupling_test.go
@@ -0,0 +1,150 @@
+package coupling_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/coupling"
+	"ploverhitch/internal/standin"
+)
+
+func TestCoupling(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "coupling")
+}
+
+var _ = Describe("a rack", func() {
+	var server *standin.Server
+	var rack *coupling.Rack
+	tries := 0
+
+	BeforeEach(func() {
+		var err error
+		server, err = standin.NewServer("i-1", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { server.Close() })
+		rack = &coupling.Rack{Address: server.Address(), Instance: "i-1"}
+	})
+
+	deliver := func(change func(*coupling.Order)) (*coupling.Reply, string, error) {
+		tries++
+		id := "try" + strconv.Itoa(tries)
+		header := http.Header{
+			coupling.HeaderAttempt: {id}, "Connection": {"X-Local, close"}, "X-Local": {"1"}, "X-Far": {"2"}, "Te": {"trailers"},
+			coupling.HeaderDeadline: {"999999"}, coupling.HeaderTarget: {"forged"},
+		}
+		order := coupling.Order{
+			Inquiry: &coupling.Inquiry{Method: "POST", Target: "/a/b?c=%2F", Host: "h", Header: header, Body: []byte("x"), HasBody: true, Attempt: id},
+			Due:     time.Now().Add(5 * time.Second), Last: time.Now().Add(5 * time.Second), Connect: time.Second, Buffer: 1 << 20,
+		}
+		if change != nil {
+			change(&order)
+		}
+		reply, err := rack.Deliver(order)
+		return reply, id, err
+	}
+
+	It("delivers method, target and body unchanged, with its own deadline and target", func() {
+		reply, id, err := deliver(nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(reply.Body)).To(Equal("body of " + id + " by i-1"))
+		run := server.Runs()[0]
+		Expect(run.Target).To(Equal("/a/b?c=%2F"))
+		Expect(run.Body).To(Equal("x"))
+		Expect(run.Instance).To(Equal("i-1"))
+		Expect(strconv.Atoi(run.Deadline)).To(BeNumerically("~", 5000, 1000))
+	})
+
+	DescribeTable("takes no reply that is not the server's whole reply to this inquiry",
+		func(act standin.Act) {
+			server.Next(act)
+			_, _, err := deliver(nil)
+			Expect(errors.Is(err, coupling.ErrUnknown)).To(BeTrue())
+			// Nothing was sent again, and the connection is not used again.
+			arrivals, _ := server.Counts()
+			Expect(arrivals).To(Equal(1))
+			reply, id, err := deliver(nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Header.Get(coupling.HeaderAttempt)).To(Equal(id))
+			_, conns := server.Counts()
+			Expect(conns).To(Equal(2))
+		},
+		Entry("cut before", standin.CutBefore),
+		Entry("cut within", standin.CutWithin),
+		Entry("without a seal", standin.NoSeal),
+		Entry("garbage", standin.Garbage),
+	)
+
+	DescribeTable("hands on its own reply and never a surplus one",
+		func(act standin.Act) {
+			for range 5 {
+				server.Next(act)
+				reply, id, err := deliver(nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(reply.Body)).To(Equal("body of " + id + " by i-1"))
+			}
+			Expect(server.Runs()).To(HaveLen(5))
+		},
+		Entry("before", standin.SurplusBefore),
+		Entry("after", standin.SurplusAfter),
+	)
+
+	It("never sends again by itself when a used connection turns out closed", func() {
+		_, _, err := deliver(nil)
+		Expect(err).NotTo(HaveOccurred())
+		server.Next(standin.CutBefore, standin.Answer)
+		_, _, err = deliver(nil)
+		Expect(errors.Is(err, coupling.ErrUnknown)).To(BeTrue())
+		arrivals, conns := server.Counts()
+		Expect(arrivals).To(Equal(2))
+		Expect(conns).To(Equal(1))
+	})
+
+	It("sends nothing once it may not, and says so", func() {
+		_, _, err := deliver(func(order *coupling.Order) { order.MaySend = func() bool { return false } })
+		Expect(errors.Is(err, coupling.ErrNotSent)).To(BeTrue())
+		server.Close()
+		rack.Close()
+		_, _, err = deliver(nil)
+		Expect(errors.Is(err, coupling.ErrNotSent)).To(BeTrue())
+		Expect(server.Runs()).To(BeEmpty())
+	})
+
+	It("tells a server that did not run the inquiry", func() {
+		server.Next(standin.Shed, standin.Misdirect, standin.Fail500)
+		for _, isNotExecuted := range []bool{true, true, false} {
+			reply, _, err := deliver(nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.IsNotExecuted()).To(Equal(isNotExecuted))
+		}
+	})
+
+	It("passes a large reply on in parts", func() {
+		reply, _, err := deliver(func(order *coupling.Order) { order.Buffer = 4 })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Rest).NotTo(BeNil())
+		Expect(reply.Length).To(BeNumerically(">", 4))
+		reply.Finish(false)
+	})
+})
+
+var _ = Describe("the header rules", func() {
+	It("drop what concerns one connection and pass the rest back", func() {
+		to := http.Header{}
+		coupling.CopyBack(to, http.Header{
+			"Connection": {"X-Local"}, "X-Local": {"1"}, "Keep-Alive": {"timeout=9"}, "Transfer-Encoding": {"chunked"},
+			"X-Far": {"2"}, coupling.HeaderSeal: {"s"},
+		})
+		Expect(to).To(HaveKeyWithValue("X-Far", []string{"2"}))
+		Expect(to).To(HaveKeyWithValue(coupling.HeaderSeal, []string{"s"}))
+		for _, gone := range []string{"Connection", "X-Local", "Keep-Alive", "Transfer-Encoding"} {
+			Expect(to).NotTo(HaveKey(gone))
+		}
+	})
+})
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,110 @@
+package feed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/manifest"
+	"ploverhitch/internal/roster"
+	"ploverhitch/internal/signal"
+)
+
+func TestFeed(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "feed")
+}
+
+func item(name string, version int) manifest.Item {
+	return manifest.Item{ID: manifest.ID{Class: manifest.LaneItem, Name: name}, Version: manifest.Version(version)}
+}
+
+// follow asks the hub from a place on, over nothing but a closure.
+func follow(hub *feed.Hub, from feed.Follow, take func(feed.News) bool) (end func()) {
+	body, err := cbor.Marshal(from)
+	Expect(err).NotTo(HaveOccurred())
+	ended := make(chan struct{})
+	hub.Handle(signal.Call{Body: body, Ended: ended, Reply: func(news any) bool { return take(news.(feed.News)) }})
+	return func() { close(ended) }
+}
+
+var _ = Describe("a feed", func() {
+	It("brings every follower to the hub's board, however often it breaks and whoever restarts", func() {
+		for seed := range uint64(60) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			hubs := []*feed.Hub{feed.NewHub(), feed.NewHub()}
+			all := manifest.Book{}
+			board, reached := feed.NewBoard(), []feed.Follow{{}, {}}
+			ends := make([]func(), 2)
+			isCut := []bool{true, true}
+			connect := func(at int) {
+				isCut[at] = false
+				ends[at] = follow(hubs[at], reached[at], func(news feed.News) bool {
+					if isCut[at] {
+						return false
+					}
+					board.Merge(news)
+					reached[at].Life, reached[at].Place = news.Life, news.Place
+					return true
+				})
+			}
+			for step := range 300 {
+				at := random.IntN(2)
+				switch random.IntN(8) {
+				case 0:
+					if !isCut[at] {
+						isCut[at] = true
+						ends[at]()
+					}
+				case 1:
+					if isCut[at] {
+						connect(at)
+					}
+				case 2:
+					if random.IntN(6) == 0 { // a restart: the hub has what the disk kept
+						hubs[at] = feed.NewHub()
+						hubs[at].Publish(feed.News{Items: all.Items()})
+						isCut[at] = true
+					}
+				default:
+					news := feed.News{Items: []manifest.Item{item(fmt.Sprint(random.IntN(5)), step+1)}}
+					all.Merge(news.Items)
+					for _, hub := range hubs {
+						hub.Publish(news)
+					}
+				}
+				if !isCut[0] || !isCut[1] {
+					Expect(board.Book.Digest()).To(Equal(all.Digest()), "seed %d step %d", seed, step)
+				}
+			}
+		}
+	})
+
+	It("starts from a checkpoint, and from then on sends only what is newer", func() {
+		hub := feed.NewHub()
+		hub.Publish(feed.News{Items: []manifest.Item{item("a", 1)}, View: &roster.View{Epoch: 3}})
+		var got []feed.News
+		follow(hub, feed.Follow{Name: "one"}, func(news feed.News) bool { got = append(got, news); return true })
+		Expect(got).To(HaveLen(1))
+		Expect(got[0].IsCheckpoint).To(BeTrue())
+		hub.Publish(feed.News{Items: []manifest.Item{item("a", 1)}, View: &roster.View{Epoch: 2}})
+		Expect(got).To(HaveLen(1))
+		hub.Publish(feed.News{Items: []manifest.Item{item("a", 2)}})
+		Expect(got).To(HaveLen(2))
+		Expect(got[1].IsCheckpoint).To(BeFalse())
+		Expect(hub.Followers()).To(Equal([]string{"one"}))
+	})
+
+	It("never goes below a fenced term of the fleet", func() {
+		board := feed.NewBoard()
+		board.Merge(feed.News{Fleet: &feed.Fleet{Term: 2, Count: 1, Servers: []feed.Server{{ID: "new"}}}})
+		_, isNew := board.Merge(feed.News{Fleet: &feed.Fleet{Term: 1, Count: 9, Servers: []feed.Server{{ID: "old"}}}})
+		Expect(isNew).To(BeFalse())
+		Expect(board.Fleet.Servers[0].ID).To(Equal("new"))
+	})
+})
--- /dev/null
+++ b/internal/manifest/manifest_test.go
@@ -0,0 +1,170 @@
+package manifest_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/manifest"
+)
+
+func TestManifest(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "manifest")
+}
+
+func lane(name, prefix, service string, version int, more string) string {
+	return fmt.Sprintf(`{"Name":%q,"PathPrefix":%q,"LaneType":"safe","Timeout":"600ms","TargetLatency":"250ms","MaxAttempts":2,"Revision":"r%d","Service":%q%s}`,
+		name, prefix, version, service, more)
+}
+
+func call(lanes ...string) []byte {
+	return []byte(`{"Upsert":{"Services":[{"Name":"s","MaxConnections":9,"Revision":"r1"}],"VirtualHosts":[{"Hostname":"h","PathTable":[` +
+		strings.Join(lanes, ",") + `]}]},"Remove":{"Lanes":[]}}`)
+}
+
+// accept is what a node does with a call, short of keeping it.
+func accept(book manifest.Book, text []byte) error {
+	items, err := manifest.ParseModify(text)
+	if err != nil {
+		return err
+	}
+	trial := book.Clone()
+	trial.Merge(trial.Newer(items))
+	if err := trial.Check(); err != nil {
+		return err
+	}
+	book.Merge(trial.Items())
+	return nil
+}
+
+var _ = Describe("an operator's call", func() {
+	DescribeTable("that is invalid has no part in force", func(text []byte, reason string) {
+		book := manifest.Book{}
+		Expect(accept(book, call(lane("a", "/a/", "s", 2, "")))).To(Succeed())
+		before := book.Digest()
+		Expect(accept(book, text)).To(MatchError(ContainSubstring(reason)))
+		Expect(book.Digest()).To(Equal(before))
+	},
+		Entry("cut short", call(lane("b", "/b/", "s", 3, ""))[:90], "cannot be read"),
+		Entry("an unknown service", call(lane("b", "/b/", "s", 3, ""), lane("c", "/c/", "other", 3, "")), "unknown service other"),
+		Entry("the same place", call(lane("b", "/a/", "s", 3, "")), "share host and prefix"),
+		Entry("no timeout", []byte(strings.Replace(string(call(lane("b", "/b/", "s", 3, ""))), "600ms", "0ms", 1)), "Timeout"),
+		Entry("no weight", call(lane("b", "/b/", "s", 3, `,"TrafficSplit":[{"Service":"s","Weight":0}]`)), "sum to 0"),
+		Entry("a weight below zero", call(lane("b", "/b/", "s", 3, `,"TrafficSplit":[{"Service":"s","Weight":-1},{"Service":"s","Weight":9}]`)), "below 0"),
+		Entry("more after its end", append(call(lane("b", "/b/", "s", 3, "")), '{'), "does not end"),
+	)
+
+	It("of an old or equal version has no effect, whatever it holds", func() {
+		book := manifest.Book{}
+		Expect(accept(book, call(lane("a", "/a/", "s", 5, "")))).To(Succeed())
+		before := book.Digest()
+		for _, version := range []int{4, 5} {
+			Expect(accept(book, call(lane("a", "/zzz/", "s", version, `,"Priority":7`)))).To(Succeed())
+			Expect(book.Digest()).To(Equal(before))
+		}
+	})
+
+	It("may move a place from one lane to another in one call", func() {
+		book := manifest.Book{}
+		Expect(accept(book, call(lane("a", "/a/", "s", 2, "")))).To(Succeed())
+		text := strings.Replace(string(call(lane("b", "/a/", "s", 3, ""))), `"Lanes":[]`, `"Lanes":[{"Name":"a","Revision":"r3"}]`, 1)
+		Expect(accept(book, []byte(text))).To(Succeed())
+		Expect(book.Compile().Find("h", "/a/x").Name).To(Equal("b"))
+		Expect(accept(book, call(lane("a", "/q/", "s", 2, "")))).To(Succeed())
+		Expect(book.Compile().Find("h", "/q/x")).To(BeNil())
+	})
+
+	It("is read back as it was sent", func() {
+		book := manifest.Book{}
+		Expect(accept(book, call(lane("a", "/a/", "s", 2, `,"NotKnownHere":[1,2]`)))).To(Succeed())
+		text, err := book.Render()
+		Expect(err).NotTo(HaveOccurred())
+		var out struct {
+			VirtualHosts []struct{ PathTable []json.RawMessage }
+		}
+		Expect(json.Unmarshal(text, &out)).To(Succeed())
+		Expect(string(out.VirtualHosts[0].PathTable[0])).To(MatchJSON(lane("a", "/a/", "s", 2, `,"NotKnownHere":[1,2]`)))
+	})
+})
+
+var _ = Describe("copies", func() {
+	It("come to the same in any order, and to the highest version of a plain search", func() {
+		random := rand.New(rand.NewPCG(4, 4))
+		for range 200 {
+			var sent []manifest.Item
+			for range 30 {
+				sent = append(sent, manifest.Item{
+					ID: manifest.ID{Class: manifest.LaneItem, Name: fmt.Sprint(random.IntN(4))}, Version: manifest.Version(1 + random.IntN(6)),
+					Dropped: random.IntN(4) == 0, Host: fmt.Sprint(random.IntN(3)),
+				})
+			}
+			one, two := manifest.Book{}, manifest.Book{}
+			one.Merge(sent)
+			for _, at := range random.Perm(len(sent)) {
+				two.Merge(sent[at : at+1])
+			}
+			Expect(two.Digest()).To(Equal(one.Digest()))
+			for id, held := range one {
+				highest := manifest.Version(0)
+				for _, item := range sent {
+					if item.ID == id {
+						highest = max(highest, item.Version)
+					}
+				}
+				Expect(held.Version).To(Equal(highest))
+			}
+		}
+	})
+})
+
+var _ = Describe("a sheet", func() {
+	It("finds the lane that a slow search finds", func() {
+		random := rand.New(rand.NewPCG(5, 5))
+		parts := []string{"a", "b", "cc"}
+		path := func() (out string) {
+			for range 1 + random.IntN(4) {
+				out += "/" + parts[random.IntN(len(parts))]
+			}
+			return out
+		}
+		for range 100 {
+			book, prefixes := manifest.Book{}, map[string]bool{}
+			for i := range 6 {
+				prefix := path() + "/"
+				if accept(book, call(lane(fmt.Sprint("l", i), prefix, "s", 2, ""))) == nil {
+					prefixes[prefix] = true
+				}
+			}
+			sheet := book.Compile()
+			for range 20 {
+				target, longest := path()+"/x", ""
+				for prefix := range prefixes {
+					if strings.HasPrefix(target, prefix) && len(prefix) > len(longest) {
+						longest = prefix
+					}
+				}
+				if found := sheet.Find("H", target); longest == "" {
+					Expect(found).To(BeNil())
+				} else {
+					Expect(found.PathPrefix).To(Equal(longest))
+				}
+			}
+		}
+	})
+
+	It("splits by weight", func() {
+		book := manifest.Book{}
+		Expect(accept(book, call(lane("a", "/a/", "s", 2, `,"TrafficSplit":[{"Service":"s","Weight":1},{"Service":"none","Weight":0}]`)))).NotTo(Succeed())
+		text := strings.Replace(string(call(lane("a", "/a/", "", 2, `,"TrafficSplit":[{"Service":"s","Weight":1},{"Service":"t","Weight":3}]`))),
+			`"Services":[`, `"Services":[{"Name":"t","Revision":"r1"},`, 1)
+		Expect(accept(book, []byte(text))).To(Succeed())
+		found := book.Compile().Find("h", "/a/")
+		Expect([]string{found.Pick(0), found.Pick(0.2), found.Pick(0.3), found.Pick(0.99)}).To(Equal([]string{"s", "s", "t", "t"}))
+	})
+})
--- /dev/null
+++ b/internal/shunt/shunt_test.go
@@ -0,0 +1,122 @@
+package shunt_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/timetable"
+)
+
+func TestShunt(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "shunt")
+}
+
+var _ = Describe("the budget", func() {
+	It("never lets the tries of any window pass its share of what was asked", func() {
+		const ratio, floor, window = 0.2, 2.0, 10 * time.Second
+		random := rand.New(rand.NewPCG(6, 6))
+		hand := &timetable.Hand{}
+		budget := shunt.NewBudget(ratio, window, floor, hand)
+		var asked, spent []time.Duration
+		within := func(times []time.Duration, from time.Duration) (count float64) {
+			for _, at := range times {
+				if at > from {
+					count++
+				}
+			}
+			return count
+		}
+		granted := 0
+		for range 6000 {
+			hand.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+			if random.IntN(300) == 0 {
+				hand.Sleep(time.Duration(random.IntN(8000)) * time.Millisecond)
+			}
+			if random.IntN(3) > 0 {
+				budget.Ask()
+				asked = append(asked, hand.Now)
+			} else if budget.Spend() {
+				granted++
+				spent = append(spent, hand.Now)
+			}
+			// The rule's own count: what was asked in that window, the one
+			// before it, or the one half a window before it. The budget's
+			// steps are a little coarser than the window.
+			most := 0.0
+			for _, back := range []time.Duration{0, window / 2, window} {
+				from := hand.Now - window - back
+				most = max(most, within(asked, from-window/19)-within(asked, from+window))
+			}
+			Expect(within(spent, hand.Now-window)).To(BeNumerically("<=", most*ratio+floor))
+		}
+		Expect(granted).To(BeNumerically(">", 400))
+	})
+})
+
+func fleet(servers ...feed.Server) feed.Fleet { return feed.Fleet{Servers: servers} }
+
+func server(id, cell string) feed.Server {
+	return feed.Server{ID: id, Service: "s", Address: "127.0.0.1:1", Cell: cell, Capacity: 2, IsReady: true}
+}
+
+func chosen(yard *shunt.Yard, wish shunt.Wish, hand *timetable.Hand) map[string]int {
+	counts := map[string]int{}
+	for range 200 {
+		if siding := yard.Choose(wish, hand); siding != nil {
+			counts[siding.ID]++
+		}
+	}
+	return counts
+}
+
+var _ = Describe("the choice of a server", func() {
+	It("heeds draining, failures, full servers, strangers and cells", func() {
+		hand := &timetable.Hand{}
+		wish := shunt.Wish{Service: "s", Cell: "c1", Crossing: 5 * time.Millisecond}
+		draining := server("d", "c1")
+		draining.IsReady = false
+		yard := (*shunt.Yard)(nil).Lay(fleet(server("a", "c1"), server("b", "c2"), draining))
+		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"a": 200}))
+		near := yard.Choose(wish, hand)
+		near.Begin()
+		near.End(shunt.Failed, time.Second, hand.Steady())
+		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"b": 200}))
+		hand.Sleep(time.Second)
+		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"a": 200}))
+		near.Begin()
+		near.End(shunt.Misdirected, 0, hand.Steady())
+		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"b": 200}))
+		wish.Passed = []*shunt.Siding{yard.Choose(wish, hand)}
+		Expect(yard.Choose(wish, hand)).To(BeNil())
+	})
+
+	It("sends less to a server that is slow, warming or busy", func() {
+		hand := &timetable.Hand{}
+		warming := server("w", "c1")
+		warming.WarmMs = hand.Wall().Add(time.Second).UnixMilli()
+		yard := (*shunt.Yard)(nil).Lay(fleet(server("a", "c1"), warming))
+		wish := shunt.Wish{Service: "s", Cell: "c1"}
+		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"a": 200}))
+		busy := yard.Choose(wish, hand)
+		for range 4 {
+			busy.Begin()
+		}
+		Expect(chosen(yard, wish, hand)["w"]).To(Equal(200))
+	})
+
+	It("keeps what it learnt of a server when the list says something new", func() {
+		hand := &timetable.Hand{}
+		yard := (*shunt.Yard)(nil).Lay(fleet(server("a", "c1")))
+		yard.Choose(shunt.Wish{Service: "s"}, hand).End(shunt.Misdirected, 0, 0)
+		changed := server("a", "c1")
+		changed.Capacity = 9
+		Expect(yard.Lay(fleet(changed)).Choose(shunt.Wish{Service: "s"}, hand)).To(BeNil())
+	})
+})
--- a/internal/signal/server.go
+++ b/internal/signal/server.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Call is one call that came in. Reply may be called from any goroutine, and
@@ -22,34 +24,43 @@
 type Handlers map[Kind]func(Call)
 
 // Serve accepts connections and answers their calls by the table until the
-// listener is closed.
+// listener is closed; the connections end with it.
 //
 // Example:
 //
 //	go signal.Serve(listener, signal.Handlers{KindPing: answerPing}, 2*time.Second)
 func Serve(listener net.Listener, handlers Handlers, silence time.Duration) {
+	ending := make(chan struct{})
+	defer close(ending)
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return
 			}
-			return
+			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			if raw, err := tcp.SyscallConn(); err == nil {
 				_ = raw.Control(func(fd uintptr) { boundSilence(int(fd), silence) })
 			}
 		}
-		go serveConn(conn, handlers)
+		go serveConn(conn, handlers, ending)
 	}
 }
 
-func serveConn(conn net.Conn, handlers Handlers) {
+func serveConn(conn net.Conn, handlers Handlers, ending <-chan struct{}) {
 	box, ended := newOutbox(conn, 1024), make(chan struct{})
 	var once sync.Once
 	end := func() { once.Do(func() { _ = conn.Close(); close(box.done); close(ended) }) }
 	defer end()
+	go func() {
+		select {
+		case <-ending:
+			end()
+		case <-ended:
+		}
+	}()
 	reader := bufio.NewReaderSize(conn, 16<<10)
 	for {
 		f, err := readFrame(reader)
--- /dev/null
+++ b/internal/signal/signal_test.go
@@ -0,0 +1,102 @@
+package signal_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/signal"
+)
+
+func TestSignal(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "signal")
+}
+
+const (
+	echo signal.Kind = 1 + iota
+	count
+	mute
+)
+
+func serve(address string) net.Listener {
+	listener, err := net.Listen("tcp4", address)
+	Expect(err).NotTo(HaveOccurred())
+	go signal.Serve(listener, signal.Handlers{
+		echo: func(call signal.Call) {
+			var text string
+			if signal.Unpack(call.Body, &text) == nil {
+				call.Reply(text)
+			}
+		},
+		count: func(call signal.Call) {
+			for i := range 3 {
+				call.Reply(i)
+			}
+		},
+		mute: func(signal.Call) {},
+	}, time.Second)
+	return listener
+}
+
+var _ = Describe("a line", func() {
+	It("carries many calls at once, each to its own reply", func() {
+		listener := serve("127.0.0.1:0")
+		defer listener.Close()
+		line := signal.NewLine(listener.Addr().String(), time.Second, time.Second)
+		var all sync.WaitGroup
+		for range 50 {
+			all.Go(func() {
+				defer GinkgoRecover()
+				text, got := time.Now().String(), ""
+				Expect(line.Ask(echo, text, &got, 5*time.Second)).To(Succeed())
+				Expect(got).To(Equal(text))
+			})
+		}
+		all.Wait()
+	})
+
+	It("gives every reply of a feed, and then the cut", func() {
+		listener := serve("127.0.0.1:0")
+		defer listener.Close()
+		line := signal.NewLine(listener.Addr().String(), time.Second, time.Second)
+		replies, cut := make(chan int, 3), make(chan error, 1)
+		line.Send(count, nil, func(body []byte, err error) {
+			if err != nil {
+				cut <- err
+				return
+			}
+			var i int
+			if signal.Unpack(body, &i) == nil {
+				replies <- i
+			}
+		})
+		for i := range 3 {
+			Eventually(replies).Should(Receive(Equal(i)))
+		}
+		line.Close()
+		Eventually(cut).Should(Receive(MatchError(signal.ErrCut)))
+	})
+
+	It("fails fast where nobody listens, and works once somebody does", func() {
+		listener := serve("127.0.0.1:0")
+		address := listener.Addr().String()
+		listener.Close()
+		line := signal.NewLine(address, time.Second, time.Second)
+		Expect(line.Ask(echo, "x", nil, 5*time.Second)).To(MatchError(signal.ErrCut))
+		listener = serve(address)
+		defer listener.Close()
+		Eventually(func() error { return line.Ask(echo, "x", nil, time.Second) }).Should(Succeed())
+	})
+
+	It("waits no longer than it is told", func() {
+		listener := serve("127.0.0.1:0")
+		defer listener.Close()
+		line := signal.NewLine(listener.Addr().String(), time.Second, time.Second)
+		Expect(line.Ask(mute, nil, nil, 20*time.Millisecond)).To(MatchError(ContainSubstring("call to")))
+	})
+})
--- a/internal/signalbox/duty.go
+++ b/internal/signalbox/duty.go
@@ -5,7 +5,6 @@
 
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/roster"
-	"ploverhitch/internal/signal"
 	"ploverhitch/internal/telegram"
 	"ploverhitch/internal/timetable"
 )
@@ -118,21 +117,18 @@
 		return out
 	}, func() {
 		if isBehind {
-			b.pull(in.From)
+			go b.pull(in.From)
 		}
 	})
 }
 
 // pull merges another member's items; it may only add.
 func (b *box) pull(member string) {
-	var forget func()
-	forget = b.line(member).Send(telegram.KindBook, telegram.Book{}, func(body []byte, err error) {
-		var items telegram.Items
-		if err == nil && signal.Unpack(body, &items) == nil && items.IsTrusted {
-			b.store(items.Items, func() {})
-		}
-		go forget()
-	})
+	var items telegram.Items
+	err := b.line(member).Ask(telegram.KindBook, telegram.Book{}, &items, askSpan)
+	if err == nil && items.IsTrusted {
+		b.store(items.Items, func() {})
+	}
 }
 
 // tendView gives a member that is lost up for a node that waits, or takes a
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,196 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Act is what a stand-in server does with one inquiry.
+type Act uint8
+
+// The acts: a server may answer, or go wrong in every way that the protocol
+// allows for.
+const (
+	Answer Act = iota
+	Shed
+	Misdirect
+	Fail500
+	CutBefore
+	CutWithin
+	NoSeal
+	Garbage
+	SurplusBefore
+	SurplusAfter
+	Silent
+)
+
+// Run is one inquiry that a server ran.
+type Run struct {
+	Attempt, Key, Target, Body, Instance, Deadline string
+}
+
+// Server is a server of a service: it runs inquiries, seals its answers, and
+// goes wrong as it is told.
+type Server struct {
+	ID       string
+	listener net.Listener
+	lock     sync.Mutex
+	acts     []Act
+	runs     []Run
+	arrivals int
+	conns    int
+	held     chan struct{}
+}
+
+// NewServer starts a server on an address; port 0 takes a free one.
+//
+// Example:
+//
+//	server, err := standin.NewServer("i-1", "127.0.0.1:0")
+func NewServer(id, address string) (*Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ID: id, listener: listener, held: make(chan struct{})}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.lock.Lock()
+			s.conns++
+			s.lock.Unlock()
+			go s.serve(conn)
+		}
+	}()
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops the server and frees what Silent held.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.Free()
+}
+
+// Free lets the inquiries that Silent held be answered.
+//
+// Example:
+//
+//	server.Free()
+func (s *Server) Free() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	close(s.held)
+	s.held = make(chan struct{})
+}
+
+// Next says what to do with the coming inquiries, one act each; after them the
+// server answers.
+//
+// Example:
+//
+//	server.Next(standin.Shed, standin.CutWithin)
+func (s *Server) Next(acts ...Act) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.acts = acts
+}
+
+// Runs are the inquiries that ran, in order.
+func (s *Server) Runs() []Run {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Counts tells how many inquiries arrived, and over how many connections.
+//
+// Example:
+//
+//	arrivals, conns := server.Counts()
+func (s *Server) Counts() (arrivals, conns int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.arrivals, s.conns
+}
+
+func (s *Server) begin(r *http.Request, body string) (Act, <-chan struct{}) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.arrivals++
+	act := Answer
+	if len(s.acts) > 0 {
+		act, s.acts = s.acts[0], s.acts[1:]
+	}
+	if target := r.Header.Get("Ploverhitch-Target-Instance"); target != "" && target != s.ID {
+		act = Misdirect
+	}
+	if act != Shed && act != Misdirect {
+		s.runs = append(s.runs, Run{
+			Attempt: r.Header.Get("Ploverhitch-Attempt-Id"), Key: r.Header.Get("Ploverhitch-Operation-Key"), Target: r.RequestURI,
+			Body: body, Instance: r.Header.Get("Ploverhitch-Target-Instance"), Deadline: r.Header.Get("Ploverhitch-Deadline-Ms"),
+		})
+	}
+	return act, s.held
+}
+
+func write(conn net.Conn, status, id, more, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, more, len(body), body)
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		text, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get("Ploverhitch-Attempt-Id")
+		seal := "Ploverhitch-Server-Seal: seal-of-" + id + "\r\n"
+		body := "body of " + id + " by " + s.ID
+		act, held := s.begin(r, string(text))
+		switch act {
+		case Shed:
+			write(conn, "503 Service Unavailable", id, "Ploverhitch-Not-Executed: 1\r\n", "")
+			continue
+		case Misdirect:
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nPloverhitch-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
+			continue
+		case Fail500:
+			write(conn, "500 Internal Server Error", id, seal, "")
+			continue
+		case CutBefore:
+			return
+		case CutWithin:
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: 900\r\n\r\npart", id, seal)
+			return
+		case NoSeal:
+			seal = ""
+		case Garbage:
+			_, _ = io.WriteString(conn, "\x00\x01 no answer at all\r\n\r\n")
+			return
+		case SurplusBefore:
+			write(conn, "200 OK", "of-another", "Ploverhitch-Server-Seal: stray\r\n", "stray")
+		case Silent:
+			<-held
+		}
+		write(conn, "200 OK", id, seal, body)
+		if act == SurplusAfter {
+			write(conn, "200 OK", "of-another", "Ploverhitch-Server-Seal: stray\r\n", "stray")
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/town.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Town is a whole small system on loopback: three core nodes and some edges,
+// each machine at an address of its own under 127.0.0.0/8, a platform, and
+// servers. It writes the settings files and speaks as the operator; the
+// programs themselves are started by whoever uses it.
+type Town struct {
+	Folder   string
+	Platform *Platform
+	Servers  map[string]*Server
+	services map[string]string
+	ports    int
+}
+
+// Machine is one machine of the town and the settings file of its processes.
+type Machine struct {
+	Name, Ip, Settings string
+	Front, Ready       string
+}
+
+// NewTown starts the platform and one server for each id, of the service that
+// is named with it. All ports of its machines follow from the first one.
+//
+// Example:
+//
+//	town, err := standin.NewTown(folder, 17200, map[string]string{"i-1": "lessons"})
+func NewTown(folder string, port int, servers map[string]string) (*Town, error) {
+	t := &Town{Folder: folder, Servers: map[string]*Server{}, services: servers, ports: port}
+	var err error
+	if t.Platform, err = NewPlatform("127.0.0.1:0", 2); err != nil {
+		return nil, err
+	}
+	for id := range servers {
+		if t.Servers[id], err = NewServer(id, "127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+	}
+	t.List(nil)
+	return t, nil
+}
+
+// List lays the platform's list: every server, ready unless its id is given
+// with another state; the state "gone" leaves it out.
+//
+// Example:
+//
+//	town.List(map[string]string{"i-1": "draining"})
+func (t *Town) List(states map[string]string) {
+	var list []Listed
+	for id, server := range t.Servers {
+		state := states[id]
+		if state == "" {
+			state = "ready"
+		}
+		if state != "gone" {
+			list = append(list, Listed{InstanceId: id, Service: t.services[id], Address: server.Address(), Cell: "a", Revision: "v1", State: state, WarmupLeft: "0ms", Capacity: 2})
+		}
+	}
+	t.Platform.Set(0, list...)
+}
+
+// Close stops the platform and the servers.
+func (t *Town) Close() {
+	t.Platform.Close()
+	for _, server := range t.Servers {
+		server.Close()
+	}
+}
+
+func (t *Town) control(number int) string { return fmt.Sprintf("127.0.1.%d:%d", number, t.ports+9) }
+
+// Core writes the settings of core machine 1, 2 or 3.
+//
+// Example:
+//
+//	machine, err := town.Core(1, true)
+func (t *Town) Core(number int, isFirst bool) (Machine, error) {
+	ip := fmt.Sprintf("127.0.1.%d", number)
+	return t.machine(Machine{Name: fmt.Sprint("core-", number), Ip: ip}, isFirst,
+		fmt.Sprintf("ControlPlane: %q", t.control(number)), filepath.Join(t.Folder, fmt.Sprint("disk-", number)))
+}
+
+// Edge writes the settings of an edge machine.
+//
+// Example:
+//
+//	machine, err := town.Edge(1)
+func (t *Town) Edge(number int) (Machine, error) {
+	m := Machine{Name: fmt.Sprint("edge-", number), Ip: fmt.Sprintf("127.0.2.%d", number)}
+	m.Front, m.Ready = fmt.Sprintf("%s:%d", m.Ip, t.ports+8), fmt.Sprintf("%s:%d", m.Ip, t.ports+7)
+	return t.machine(m, true, fmt.Sprintf("ClientHttp: %q, Readiness: %q", m.Front, m.Ready), "")
+}
+
+func (t *Town) machine(m Machine, isFirst bool, bind, disk string) (Machine, error) {
+	text := fmt.Sprintf(`platform:
+  NodeName: %q
+  Ip: %q
+  Cell: "a"
+  Bind: {%s}
+  InternalPorts: [%d, %d]
+  SeedNodes: [%q, %q, %q]
+  Bootstrap: %t
+  Limits: {CpuShare: 1.0, MemoryMb: 280, MaxFds: 4096, DiskMb: 256}
+  DataDir: %q
+  FaultTolerance: {Machines: 1}
+  Bounds: {Contact: "3000ms", Sync: "4s", Drain: "2500ms", Grace: "2s", ConfigApply: "2500ms", RetryBudgetRatio: 0.2, RetryWindow: "10s", RetrySlack: 64, KeyWindow: "60s"}
+  CloudApi: {Address: %q, RatePerS: 50, MaxLag: "800ms"}
+tuning: {beat: 100ms, silent_after: 400ms, poll: 50ms, log_level: error}
+`, m.Name, m.Ip, bind, t.ports, t.ports+5, t.control(1), t.control(2), t.control(3), isFirst, disk, t.Platform.Address())
+	m.Settings = filepath.Join(t.Folder, m.Name+".yaml")
+	return m, os.WriteFile(m.Settings, []byte(text), 0o644)
+}
+
+// Modify sends an operator's call to a core node.
+//
+// Example:
+//
+//	status, err := town.Modify(1, text)
+func (t *Town) Modify(number int, text string) (int, error) {
+	response, err := http.Post("http://"+t.control(number)+"/v1/manifest/modify", "application/json", strings.NewReader(text))
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, nil
+}
+
+// Read reads the manifest, or another page, back from a core node.
+//
+// Example:
+//
+//	status, text, err := town.Read(1, "/v1/manifest/read")
+func (t *Town) Read(number int, path string) (int, string, error) {
+	response, err := http.Get("http://" + t.control(number) + path)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	var body bytes.Buffer
+	_, err = body.ReadFrom(response.Body)
+	return response.StatusCode, body.String(), err
+}
--- /dev/null
+++ b/internal/standin/town_test.go
@@ -0,0 +1,249 @@
+package standin_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/points"
+	"ploverhitch/internal/signalbox"
+	"ploverhitch/internal/standin"
+	"ploverhitch/internal/telegraph"
+)
+
+func TestTown(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(20 * time.Second)
+	RunSpecs(t, "the whole system on loopback")
+}
+
+var _ = Describe("the whole system", Ordered, func() {
+	var town *standin.Town
+	var cores []*process
+	var edge standin.Machine
+	attempts := 0
+
+	coreOf := func(number int, isFirst bool) *process {
+		machine, err := town.Core(number, isFirst)
+		Expect(err).NotTo(HaveOccurred())
+		return start(signalbox.Run, machine)
+	}
+
+	send := func(method, path, body string, headers map[string]string) (int, http.Header, string) {
+		attempts++
+		request, err := http.NewRequest(method, "http://"+edge.Front+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		request.Host = "h.example"
+		request.Header.Set("Ploverhitch-Attempt-Id", fmt.Sprint("try", attempts))
+		for name, value := range headers {
+			request.Header.Set(name, value)
+		}
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return response.StatusCode, response.Header, string(text)
+	}
+	fee := func(key, body string) (int, http.Header, string) {
+		return send("POST", "/fee/x", body, map[string]string{"Ploverhitch-Operation-Key": key})
+	}
+	runs := func(key string) (count int) {
+		for _, server := range town.Servers {
+			for _, run := range server.Runs() {
+				if run.Key == key {
+					count++
+				}
+			}
+		}
+		return count
+	}
+
+	BeforeAll(func() {
+		folder, err := os.MkdirTemp("", "town")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(os.RemoveAll, folder)
+		town, err = standin.NewTown(folder, 17200, map[string]string{"l-1": "lessons", "l-2": "lessons", "l-3": "lessons", "f-1": "fees", "f-2": "fees"})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(town.Close)
+		for number := 1; number <= 3; number++ {
+			cores = append(cores, coreOf(number, true))
+		}
+		edge, err = town.Edge(1)
+		Expect(err).NotTo(HaveOccurred())
+		agent, proxy := start(telegraph.Run, edge), start(points.Run, edge)
+		DeferCleanup(func() {
+			proxy.end()
+			agent.end()
+			for _, core := range cores {
+				core.end()
+			}
+		})
+		Eventually(func() (int, error) { return town.Modify(1, manifestText) }).Should(Equal(200))
+		Eventually(func() int {
+			response, err := http.Get("http://" + edge.Ready + "/v1/ready")
+			if err != nil {
+				return 0
+			}
+			response.Body.Close()
+			return response.StatusCode
+		}).Should(Equal(200))
+	})
+
+	It("serves, and answers 404, 400, 413 and 431 by itself", func() {
+		status, header, body := send("GET", "/read/a?b", "", nil)
+		Expect(status).To(Equal(200))
+		Expect(header.Get("Ploverhitch-Server-Seal")).To(HavePrefix("seal-of-try"))
+		Expect(body).To(HavePrefix("body of try"))
+		for want, ask := range map[int]func() (int, http.Header, string){
+			404: func() (int, http.Header, string) { return send("GET", "/none/", "", nil) },
+			400: func() (int, http.Header, string) {
+				return send("GET", "/read/", "", map[string]string{"Ploverhitch-Deadline-Ms": "soon"})
+			},
+			413: func() (int, http.Header, string) { return send("POST", "/once/", strings.Repeat("x", 1001), nil) },
+			431: func() (int, http.Header, string) {
+				return send("GET", "/read/", "", map[string]string{"X-Big": strings.Repeat("x", 3000)})
+			},
+		} {
+			status, _, _ := ask()
+			Expect(status).To(Equal(want))
+		}
+	})
+
+	It("tries a repeatable inquiry at another server after every kind of failure", func() {
+		for _, act := range []standin.Act{standin.Shed, standin.Fail500, standin.CutBefore, standin.CutWithin, standin.NoSeal, standin.Garbage} {
+			for id, server := range town.Servers {
+				if strings.HasPrefix(id, "l") {
+					server.Next()
+				}
+			}
+			town.Servers["l-1"].Next(act)
+			status, header, _ := send("GET", "/read/a", "", nil)
+			Expect(status).To(Equal(200))
+			Expect(header.Get("Ploverhitch-Server-Seal")).NotTo(BeEmpty())
+		}
+	})
+
+	It("runs an unsafe inquiry once, and promises nothing after a silence", func() {
+		for _, act := range []standin.Act{standin.CutBefore, standin.Garbage} {
+			for _, id := range []string{"l-1", "l-2", "l-3"} {
+				town.Servers[id].Next(act)
+			}
+			status, _, _ := send("POST", "/once/a", "x", nil)
+			Expect(status).To(Equal(502))
+			count := 0
+			for _, server := range town.Servers {
+				for _, run := range server.Runs() {
+					if run.Attempt == fmt.Sprint("try", attempts) {
+						count++
+					}
+				}
+				server.Next()
+			}
+			Expect(count).To(Equal(1))
+		}
+	})
+
+	It("replays a keyed inquiry from its record, and rejects another under its key", func() {
+		status, header, body := fee("k1", "seat 7")
+		Expect(status).To(Equal(200))
+		again, repeated, replay := fee("k1", "seat 7")
+		Expect(again).To(Equal(200))
+		Expect(replay).To(Equal(body))
+		Expect(repeated.Get("Ploverhitch-Server-Seal")).To(Equal(header.Get("Ploverhitch-Server-Seal")))
+		status, _, _ = fee("k1", "seat 8")
+		Expect(status).To(Equal(422))
+		Expect(runs("k1")).To(Equal(1))
+	})
+
+	It("frees a key that surely did not run, and holds one whose outcome is not shown", func() {
+		town.Servers["f-1"].Next(standin.Shed)
+		town.Servers["f-2"].Next(standin.Shed)
+		status, header, _ := fee("k2", "x")
+		Expect(status).To(Equal(503))
+		Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+		Eventually(func() int { status, _, _ := fee("k2", "x"); return status }).Should(Equal(200))
+		Expect(runs("k2")).To(Equal(1))
+
+		town.Servers["f-1"].Next(standin.CutBefore)
+		town.Servers["f-2"].Next(standin.CutBefore)
+		status, _, _ = fee("k3", "x")
+		Expect(status).To(Equal(502))
+		town.Servers["f-1"].Next()
+		town.Servers["f-2"].Next()
+		status, _, _ = fee("k3", "x")
+		Expect(status).To(Equal(409))
+		Expect(runs("k3")).To(Equal(1))
+	})
+
+	It("resolves a key by the late reply on its first connection", func() {
+		town.Servers["f-1"].Next(standin.Silent)
+		town.Servers["f-2"].Next(standin.Silent)
+		status, _, _ := send("POST", "/fee/x", "x", map[string]string{"Ploverhitch-Operation-Key": "k4", "Ploverhitch-Deadline-Ms": "200"})
+		Expect(status).To(Equal(504))
+		town.Servers["f-1"].Free()
+		town.Servers["f-2"].Free()
+		Eventually(func() int { status, _, _ := fee("k4", "x"); return status }).Should(Equal(200))
+		Expect(runs("k4")).To(Equal(1))
+	})
+
+	It("sends nothing to a server that the list calls draining", func() {
+		town.List(map[string]string{"l-1": "draining", "l-2": "gone"})
+		Eventually(func() int {
+			before, _ := town.Servers["l-3"].Counts()
+			for range 6 {
+				send("GET", "/read/a", "", nil)
+			}
+			after, _ := town.Servers["l-3"].Counts()
+			return after - before
+		}).Should(Equal(6))
+		town.List(nil)
+	})
+
+	It("keeps keys and items when the whole core is stopped and one disk is lost", func() {
+		for _, core := range cores {
+			core.end()
+		}
+		status, header, _ := fee("k5", "x")
+		Expect(status).To(Equal(503))
+		Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(os.RemoveAll(town.Folder + "/disk-2")).To(Succeed())
+		for number := 1; number <= 3; number++ {
+			cores[number-1] = coreOf(number, false)
+		}
+		Eventually(func() int { status, _, _ := fee("k1", "seat 7"); return status }).Should(Equal(200))
+		Expect(runs("k1")).To(Equal(1))
+		Eventually(func() string { _, text, _ := town.Read(2, "/v1/status"); return text }).Should(ContainSubstring(`"IsTrusted":true`))
+		// Now another node goes: what is left must know the key still.
+		cores[0].end()
+		Eventually(func() int { status, _, _ := fee("k1", "seat 7"); return status }).Should(Equal(200))
+		Expect(runs("k1")).To(Equal(1))
+		status, text, err := town.Read(2, "/v1/manifest/read")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(200))
+		Expect(text).To(ContainSubstring(`"PathPrefix":"/fee/"`))
+		// With one node left, nothing is acknowledged and nothing is promised.
+		cores[2].end()
+		status, err = town.Modify(2, strings.ReplaceAll(manifestText, "r1", "r2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(503))
+		cores[0], cores[2] = coreOf(1, false), coreOf(3, false)
+		Eventually(func() (int, error) { return town.Modify(2, strings.ReplaceAll(manifestText, "r1", "r2")) }).Should(Equal(200))
+	})
+
+	It("gives a member that is lost up for a node that waits", func() {
+		cores[2].end()
+		cores[2] = coreOf(4, false)
+		Eventually(func() string { _, text, _ := town.Read(4, "/v1/status"); return text }).Should(And(
+			ContainSubstring(`"Epoch":2`), ContainSubstring(`"IsTrusted":true`), ContainSubstring(`"127.0.1.4:17200":true`)))
+		Eventually(func() int { status, _, _ := fee("k1", "seat 7"); return status }).Should(Equal(200))
+		Expect(runs("k1")).To(Equal(1))
+	})
+})
