--- /dev/null
+++ b/cmd/modelrailway/main.go
@@ -0,0 +1,91 @@
+// Command modelrailway runs a whole small ploverhitch on loopback, with
+// stand-ins for the platform and the servers, for trying it out.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"ploverhitch/internal/standin"
+)
+
+const firstManifest = `{"Upsert":{"Services":[{"Name":"lessons","MaxConnections":20,"Revision":"r1"},{"Name":"fees","MaxConnections":20,"Revision":"r1"}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"Revision":"r1"},
+"VirtualHosts":[{"Hostname":"h.example","PathTable":[
+{"Name":"read","PathPrefix":"/read/","LaneType":"safe","Timeout":"1200ms","TargetLatency":"300ms","MaxAttempts":2,"Service":"lessons","Revision":"r1"},
+{"Name":"fee","PathPrefix":"/fee/","LaneType":"idempotent","Timeout":"1500ms","TargetLatency":"400ms","MaxAttempts":2,"Service":"fees","Revision":"r1"}]}]},"Remove":{"Lanes":[]}}`
+
+func main() {
+	app := kingpin.New("modelrailway", "A whole ploverhitch on loopback, against stand-ins. Example: modelrailway --folder /tmp/town")
+	folder := app.Flag("folder", "Where settings and disks are put.").Required().String()
+	port := app.Flag("port", "The first of its ports.").Default("17200").Int()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, *folder, *port); err != nil {
+		fmt.Fprintln(os.Stderr, "modelrailway:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, folder string, port int) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	town, err := standin.NewTown(folder, port, map[string]string{"l-1": "lessons", "l-2": "lessons", "f-1": "fees", "f-2": "fees"})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer town.Close()
+	_, err = os.Stat(filepath.Join(folder, "disk-1"))
+	isFirst := os.IsNotExist(err)
+	var edge standin.Machine
+	for number := 1; number <= 3; number++ {
+		machine, err := town.Core(number, isFirst)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if err = launch(ctx, "signalbox", machine); err != nil {
+			return err
+		}
+	}
+	if edge, err = town.Edge(1); err != nil {
+		return errors.Trace(err)
+	}
+	for _, program := range []string{"telegraph", "points"} {
+		if err = launch(ctx, program, edge); err != nil {
+			return err
+		}
+	}
+	for status := 0; status != 200 && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		status, _ = town.Modify(1, firstManifest)
+	}
+	fmt.Printf("it runs; try:\n"+
+		"  curl -s -H 'Host: h.example' -H 'Ploverhitch-Attempt-Id: a1' http://%[1]s/read/hello\n"+
+		"  curl -s -H 'Host: h.example' -H 'Ploverhitch-Attempt-Id: a2' -H 'Ploverhitch-Operation-Key: k1' -d seat=7 http://%[1]s/fee/enrol\n"+
+		"  curl -s http://%[2]s/v1/status\n"+
+		"  ploverhitch --settings %[3]s inspector check --control %[2]s\n", edge.Front, town.Control(1), edge.Settings)
+	<-ctx.Done()
+	return nil
+}
+
+// launch runs one program until the context ends.
+func launch(ctx context.Context, program string, machine standin.Machine) error {
+	self, err := os.Executable()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	command := exec.CommandContext(ctx, filepath.Join(filepath.Dir(self), "ploverhitch"), "--settings", machine.Settings, program)
+	command.Stdout, command.Stderr = os.Stdout, os.Stderr
+	command.Cancel = func() error { return command.Process.Signal(syscall.SIGTERM) }
+	return errors.Annotatef(command.Start(), "starting %s", program)
+}
--- a/internal/standin/town.go
+++ b/internal/standin/town.go
@@ -77,7 +77,12 @@
 	}
 }
 
-func (t *Town) control(number int) string { return fmt.Sprintf("127.0.1.%d:%d", number, t.ports+9) }
+// Control is the control address of a core machine.
+//
+// Example:
+//
+//	http.Get("http://" + town.Control(1) + "/v1/status")
+func (t *Town) Control(number int) string { return fmt.Sprintf("127.0.1.%d:%d", number, t.ports+9) }
 
 // Core writes the settings of core machine 1, 2 or 3.
 //
@@ -87,7 +92,7 @@
 func (t *Town) Core(number int, isFirst bool) (Machine, error) {
 	ip := fmt.Sprintf("127.0.1.%d", number)
 	return t.machine(Machine{Name: fmt.Sprint("core-", number), Ip: ip}, isFirst,
-		fmt.Sprintf("ControlPlane: %q", t.control(number)), filepath.Join(t.Folder, fmt.Sprint("disk-", number)))
+		fmt.Sprintf("ControlPlane: %q", t.Control(number)), filepath.Join(t.Folder, fmt.Sprint("disk-", number)))
 }
 
 // Edge writes the settings of an edge machine.
@@ -116,7 +121,7 @@
   Bounds: {Contact: "3000ms", Sync: "4s", Drain: "2500ms", Grace: "2s", ConfigApply: "2500ms", RetryBudgetRatio: 0.2, RetryWindow: "10s", RetrySlack: 64, KeyWindow: "60s"}
   CloudApi: {Address: %q, RatePerS: 50, MaxLag: "800ms"}
 tuning: {beat: 100ms, silent_after: 400ms, poll: 50ms, log_level: error}
-`, m.Name, m.Ip, bind, t.ports, t.ports+5, t.control(1), t.control(2), t.control(3), isFirst, disk, t.Platform.Address())
+`, m.Name, m.Ip, bind, t.ports, t.ports+5, t.Control(1), t.Control(2), t.Control(3), isFirst, disk, t.Platform.Address())
 	m.Settings = filepath.Join(t.Folder, m.Name+".yaml")
 	return m, os.WriteFile(m.Settings, []byte(text), 0o644)
 }
@@ -127,7 +132,7 @@
 //
 //	status, err := town.Modify(1, text)
 func (t *Town) Modify(number int, text string) (int, error) {
-	response, err := http.Post("http://"+t.control(number)+"/v1/manifest/modify", "application/json", strings.NewReader(text))
+	response, err := http.Post("http://"+t.Control(number)+"/v1/manifest/modify", "application/json", strings.NewReader(text))
 	if err != nil {
 		return 0, err
 	}
@@ -142,7 +147,7 @@
 //
 //	status, text, err := town.Read(1, "/v1/manifest/read")
 func (t *Town) Read(number int, path string) (int, string, error) {
-	response, err := http.Get("http://" + t.control(number) + path)
+	response, err := http.Get("http://" + t.Control(number) + path)
 	if err != nil {
 		return 0, "", err
 	}
