Keyed operations and downloads are placed by a ring

Cause: operators want to know beforehand which of them a change of servers would move; so they need a place that depends on the servers alone.

--- a/internal/points/deliver.go
+++ b/internal/points/deliver.go
@@ -37,6 +37,7 @@
 		one := request.(*inquiry)
 		one.service = one.lane.Pick(rand.Float64())
 		p.budget(one.service).Ask()
+		one.takePlace()
 		if one.sight.yard.Ready(one.service) == 0 {
 			return nil, derail.New(derail.NoServer, one.service)
 		}
@@ -157,6 +158,7 @@
 func (d *delivery) choose() *shunt.Siding {
 	return d.sight.Load().yard.Choose(shunt.Wish{
 		Service: d.one.service, Cell: d.set.Load().Platform.Cell, Passed: d.passed, Crossing: d.pace.crossing(),
+		Place: d.one.place, IsPlaced: d.one.isPlaced,
 	}, d.clock)
 }
 
--- a/internal/points/inquiry.go
+++ b/internal/points/inquiry.go
@@ -15,6 +15,7 @@
 	"ploverhitch/internal/derail"
 	"ploverhitch/internal/ledger"
 	"ploverhitch/internal/manifest"
+	"ploverhitch/internal/shunt"
 )
 
 // inquiry is one client's inquiry on its way through the proxy.
@@ -28,6 +29,21 @@
 	due     time.Time
 	key     ledger.Key
 	maySend func() bool
+	// place is where the ring of the service puts a keyed operation or a
+	// download.
+	place    shunt.Place
+	isPlaced bool
+}
+
+// takePlace places keyed operations by their key and downloads by their path;
+// the short repeatable inquiries go wherever is best at the moment.
+func (i *inquiry) takePlace() {
+	switch i.lane.LaneType {
+	case manifest.Idempotent:
+		i.place, i.isPlaced = shunt.PlaceOf(i.lane.Host, i.Header.Get(coupling.HeaderKey)), true
+	case manifest.Download:
+		i.place, i.isPlaced = shunt.PlaceOf(i.lane.Host, i.Target), true
+	}
 }
 
 func newLife() string {
