--- a/internal/points/pace.go
+++ b/internal/points/pace.go
@@ -21,7 +21,7 @@
 	patienceLeast  = 0.35
 	// crossingPerKB is how much delay is borne to save a kilobyte between
 	// cells.
-	crossingPerKB = 300 * time.Microsecond
+	crossingPerKB = time.Millisecond
 	crossingLeast = 2 * time.Millisecond
 )
 
