--- a/internal/derail/kinds.go
+++ b/internal/derail/kinds.go
@@ -48,7 +48,7 @@
 	AtWork:         {Status: 409, Reason: "the key is in work", RetryAfter: 100 * time.Millisecond},
 	Busy:           {Status: 503, Reason: "the servers are full", Promise: true, RetryAfter: 50 * time.Millisecond},
 	NoServer:       {Status: 503, Reason: "no server is ready", Promise: true, RetryAfter: 100 * time.Millisecond},
-	NoQuorum:       {Status: 503, Reason: "the key cannot be secured now", Promise: true, RetryAfter: 100 * time.Millisecond},
+	NoQuorum:       {Status: 503, Reason: "the key cannot be secured now", Promise: true, RetryAfter: 400 * time.Millisecond},
 	NotExecuted:    {Status: 503, Reason: "no server took the inquiry", Promise: true, RetryAfter: 50 * time.Millisecond},
 	Broken:         {Status: 502, Reason: "the server's reply broke off; it may have run"},
 	Late:           {Status: 504, Reason: "the server's reply is late; it may have run"},
--- a/internal/points/replay.go
+++ b/internal/points/replay.go
@@ -14,7 +14,6 @@
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/signal"
 	"ploverhitch/internal/telegram"
-	"ploverhitch/internal/timetable"
 )
 
 // attempt is one try of this proxy at one key.
@@ -70,71 +69,6 @@
 	}
 }
 
-type vote struct {
-	member string
-	vote   *telegram.Vote
-}
-
-// reserve asks every member of the core at once.
-func (a *attempt) reserve() ledger.Standing {
-	view := a.sight.Load().view
-	began, span := a.clock.Steady(), a.set.Load().Tuning.VoteSpan
-	a.round = ledger.NewRound(a.intent.Hash, max(1, len(view.Members)), began, timetable.Steady(span))
-	votes := make(chan vote, len(view.Members))
-	for _, member := range view.Members {
-		forget := a.line(member).Send(telegram.KindReserve, telegram.Reserve{Epoch: view.Epoch, Intent: a.intent}, func(body []byte, err error) {
-			got := vote{member: member}
-			if out := new(telegram.Vote); err == nil && signal.Unpack(body, out) == nil {
-				got.vote = out
-			}
-			select {
-			case votes <- got:
-			default:
-			}
-		})
-		defer forget()
-	}
-	alarm := time.NewTimer(min(span.Std(), time.Until(a.one.due)))
-	defer alarm.Stop()
-	for range view.Members {
-		select {
-		case got := <-votes:
-			a.take(got)
-		case <-alarm.C:
-			return a.round.Standing(began + timetable.Steady(span) + 1)
-		}
-		if standing := a.round.Standing(a.clock.Steady()); standing != ledger.Undecided {
-			return standing
-		}
-	}
-	return a.round.Standing(began + timetable.Steady(span) + 1)
-}
-
-func (a *attempt) take(got vote) {
-	if got.vote == nil {
-		a.round.On(nil)
-		return
-	}
-	if got.vote.Ballot.Verdict != ledger.Granted {
-		a.ungranted[got.member] = true
-	}
-	if got.vote.View != nil {
-		a.loop.Offer(newsOf(got.vote.View))
-	}
-	a.round.On(&got.vote.Ballot)
-}
-
-// giveBack frees the votes of an attempt that will never be delivered. Only
-// this proxy could have delivered it, so freeing them is safe.
-func (a *attempt) giveBack() {
-	a.intent.State = ledger.Released
-	for _, member := range a.sight.Load().view.Members {
-		if !a.ungranted[member] {
-			a.line(member).Send(telegram.KindRecord, telegram.Record{Intent: a.intent}, nil)
-		}
-	}
-}
-
 // forward delivers the inquiry of a won round, and records the outcome on a
 // majority before the client gets it.
 func (a *attempt) forward(ctx context.Context, next endpoint.Endpoint) (any, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -137,7 +137,7 @@
 func Defaults() Tuning {
 	const ms = timetable.Span(1_000_000)
 	return Tuning{
-		VoteSpan: 400 * ms, RecordWait: 250 * ms, Retention: 24 * 3600 * 1000 * ms,
+		VoteSpan: 250 * ms, RecordWait: 250 * ms, Retention: 24 * 3600 * 1000 * ms,
 		OpenLimit: 4096, BufferBytes: 1 << 20, Beat: 300 * ms, SilentAfter: 1200 * ms,
 		ReplaceAfter: 2500 * ms, Poll: 400 * ms, LogLevel: "warn", Loopback: "127.0.0.1",
 	}
