The control interface is held to its OpenAPI file; invalid calls of old versions are refused

Found by the new test: a call naming an unknown service under a version already in force was acknowledged without effect. Such a call is now checked by itself too.

--- a/internal/inspector/check.go
+++ b/internal/inspector/check.go
@@ -41,7 +41,6 @@
 	find := func(what, where, format string, args ...any) {
 		out = append(out, Finding{what, where, fmt.Sprintf(format, args...)})
 	}
-	trial := book.Clone()
 	for _, item := range sent {
 		if held, isHeld := book[item.ID]; isHeld && item.Version <= held.Version {
 			mine, _ := item.Version.MarshalText()
@@ -49,8 +48,8 @@
 			find("superseded", item.ID.Name, "version %s has no effect: %s is in force", mine, theirs)
 		}
 	}
-	trial.Merge(trial.Newer(sent))
-	if err := trial.Check(); err != nil {
+	_, trial, err := book.Accept(sent)
+	if err != nil {
 		find("invalid", "manifest", "%s", err)
 	}
 	ready, slots := map[string]int{}, map[string]int{}
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -34,13 +34,11 @@
 	if err != nil {
 		return err
 	}
-	trial := book.Clone()
-	trial.Merge(trial.Newer(items))
-	if err := trial.Check(); err != nil {
-		return err
+	newer, _, err := book.Accept(items)
+	if err == nil {
+		book.Merge(newer)
 	}
-	book.Merge(trial.Items())
-	return nil
+	return err
 }
 
 var _ = Describe("an operator's call", func() {
@@ -53,6 +51,8 @@
 	},
 		Entry("cut short", call(lane("b", "/b/", "s", 3, ""))[:90], "cannot be read"),
 		Entry("an unknown service", call(lane("b", "/b/", "s", 3, ""), lane("c", "/c/", "other", 3, "")), "unknown service other"),
+		Entry("an unknown service, under an old version", call(lane("a", "/a/", "other", 2, "")), "unknown service other"),
+		Entry("the same place twice in the call", call(lane("a", "/q/", "s", 1, ""), lane("b", "/q/", "s", 1, "")), "share host and prefix"),
 		Entry("the same place", call(lane("b", "/a/", "s", 3, "")), "share host and prefix"),
 		Entry("no timeout", []byte(strings.Replace(string(call(lane("b", "/b/", "s", 3, ""))), "600ms", "0ms", 1)), "Timeout"),
 		Entry("no weight", call(lane("b", "/b/", "s", 3, `,"TrafficSplit":[{"Service":"s","Weight":0}]`)), "sum to 0"),
--- a/internal/manifest/spec.go
+++ b/internal/manifest/spec.go
@@ -126,12 +126,13 @@
 // Example:
 //
 //	err := trial.Check()
-func (b Book) Check() error {
-	services, places := map[string]bool{}, map[string]string{}
-	for id, item := range b {
-		services[id.Name] = services[id.Name] || id.Class == ServiceItem && !item.Dropped
-	}
-	for _, item := range b.Items() {
+func (b Book) Check() error { return b.checkLanes(b.Items()) }
+
+// checkLanes checks the lanes among the items against the book's services and
+// against each other.
+func (b Book) checkLanes(items []Item) error {
+	places := map[string]string{}
+	for _, item := range items {
 		if item.ID.Class != LaneItem || item.Dropped {
 			continue
 		}
@@ -140,7 +141,7 @@
 			return derail.New(derail.BadManifest, "lane "+item.ID.Name+": "+err.Error())
 		}
 		for _, name := range lane.Services() {
-			if !services[name] {
+			if service, isKnown := b[ID{ServiceItem, name}]; !isKnown || service.Dropped {
 				return derail.New(derail.BadManifest, "lane "+lane.Name+" names the unknown service "+name)
 			}
 		}
@@ -152,3 +153,19 @@
 	}
 	return nil
 }
+
+// Accept checks an operator's call against the book: the whole that it would
+// make, and the call by itself, whose lanes must be valid even where a higher
+// version holds. It returns the items that have an effect, and the whole.
+//
+// Example:
+//
+//	newer, whole, err := book.Accept(items)
+func (b Book) Accept(items []Item) (newer []Item, whole Book, err error) {
+	newer, whole = b.Newer(items), b.Clone()
+	whole.Merge(newer)
+	if err = whole.Check(); err == nil {
+		err = whole.checkLanes(items)
+	}
+	return newer, whole, err
+}
--- a/internal/signalbox/control.go
+++ b/internal/signalbox/control.go
@@ -17,17 +17,28 @@
 
 const callBytes = 32 << 20
 
-// control is the operators' interface, as api/control.yaml lays it down.
+// call is one call of the operators' interface: what it does, and how its
+// inquiry is read.
+type call struct {
+	point  endpoint.Endpoint
+	decode kithttp.DecodeRequestFunc
+}
+
+// table is the operators' interface, as api/control.yaml lays it down.
+func (b *box) table() map[string]call {
+	return map[string]call{
+		"POST /v1/manifest/modify": {b.modifyPoint, decodeModify},
+		"GET /v1/manifest/read":    {b.readPoint, kithttp.NopRequestDecoder},
+		"GET /v1/status":           {b.statusPoint, kithttp.NopRequestDecoder},
+		"GET /v1/fleet":            {b.fleetPoint, kithttp.NopRequestDecoder},
+	}
+}
+
 func (b *box) control() http.Handler {
 	mux := http.NewServeMux()
-	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(writeError)}
-	handle := func(pattern string, point endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
-		mux.Handle(pattern, kithttp.NewServer(point, decode, writeJSON, options...))
+	for pattern, c := range b.table() {
+		mux.Handle(pattern, kithttp.NewServer(c.point, c.decode, writeJSON, kithttp.ServerErrorEncoder(writeError)))
 	}
-	handle("POST /v1/manifest/modify", b.modifyPoint, decodeModify)
-	handle("GET /v1/manifest/read", b.readPoint, kithttp.NopRequestDecoder)
-	handle("GET /v1/status", b.statusPoint, kithttp.NopRequestDecoder)
-	handle("GET /v1/fleet", b.fleetPoint, kithttp.NopRequestDecoder)
 	return mux
 }
 
--- a/internal/signalbox/manifest.go
+++ b/internal/signalbox/manifest.go
@@ -60,9 +60,8 @@
 	if err != nil {
 		return err
 	}
-	newer := book.Newer(items)
-	book.Merge(newer)
-	if err = book.Check(); err != nil {
+	newer, book, err := book.Accept(items)
+	if err != nil {
 		return err
 	}
 	if isUneven {
