Edges tell a core node again what it may have lost

Telegraphs bring a node the items it lacks when its checkpoint shows so; proxies tell again the intents of the last Sync span once their line to a node is made anew. Both only add. Test: every disk of the core is lost, and the manifest is there again.

--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -51,12 +51,12 @@
 	lock    sync.Mutex
 	lines   map[string]*signal.Line
 	budgets map[string]*shunt.Budget
-	sizes   sync.Map
 	paces   sync.Map
 	// runs are the placed operations at work, by their inquiry.
-	runs  sync.Map
-	life  string
-	tries atomic.Uint64
+	runs   sync.Map
+	recent recent
+	life   string
+	tries  atomic.Uint64
 }
 
 const (
@@ -199,6 +199,7 @@
 	line := p.lines[address]
 	if line == nil {
 		line = signal.NewLine(address, coreConnect, coreSilence)
+		line.Again = func() { p.retell(line) }
 		p.lines[address] = line
 	}
 	return line
--- a/internal/points/replay.go
+++ b/internal/points/replay.go
@@ -14,6 +14,7 @@
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/signal"
 	"ploverhitch/internal/telegram"
+	"ploverhitch/internal/timetable"
 )
 
 // attempt is one try of this proxy at one key.
@@ -121,6 +122,7 @@
 // tell records the intent with every member, and waits until a majority has it
 // on disk, or the span ends.
 func (a *attempt) tell(intent ledger.Intent, wait time.Duration) {
+	a.recent.add(intent, a.clock.Steady(), timetable.Steady(a.set.Load().Platform.Bounds.Sync))
 	view := a.sight.Load().view
 	kept := make(chan bool, len(view.Members))
 	for _, member := range view.Members {
--- /dev/null
+++ b/internal/points/retell.go
@@ -0,0 +1,43 @@
+package points
+
+import (
+	"sync"
+
+	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/signal"
+	"ploverhitch/internal/telegram"
+	"ploverhitch/internal/timetable"
+)
+
+// recent is what this proxy told the core a short while ago.
+type recent struct {
+	lock    sync.Mutex
+	intents []toldIntent
+}
+
+type toldIntent struct {
+	at     timetable.Steady
+	intent ledger.Intent
+}
+
+func (r *recent) add(intent ledger.Intent, now, span timetable.Steady) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	old := 0
+	for old < len(r.intents) && now-r.intents[old].at > span {
+		old++
+	}
+	r.intents = append(r.intents[old:], toldIntent{now, intent})
+}
+
+// retell tells a core node again what it may have lost, once the line to it is
+// made anew: whoever told it first. A node that holds it takes no notice, and
+// what it did not hold is only added; no vote is granted by it.
+func (p *proxy) retell(line *signal.Line) {
+	p.recent.lock.Lock()
+	intents := append([]toldIntent(nil), p.recent.intents...)
+	p.recent.lock.Unlock()
+	for _, told := range intents {
+		line.Send(telegram.KindRecord, telegram.Record{Intent: told.intent}, nil)
+	}
+}
--- a/internal/signal/line.go
+++ b/internal/signal/line.go
@@ -19,6 +19,9 @@
 // made again after it broke. Calls are numbered; replies come to closures.
 type Line struct {
 	Address string
+	// Again, if set, is called each time the line was made again after it broke.
+	Again   func()
+	made    bool
 	connect time.Duration
 	silence time.Duration
 
@@ -158,6 +161,10 @@
 		put()
 	}
 	go l.read(conn, l.box)
+	if l.made && l.Again != nil {
+		go l.Again()
+	}
+	l.made = true
 }
 
 // fail gives every waiting call its error; the lock is held.
--- a/internal/standin/town_test.go
+++ b/internal/standin/town_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -126,8 +127,10 @@
 		town.Servers["f-2"].Next(standin.Silent)
 		status, _, _ := send("POST", "/fee/x", "x", map[string]string{"Ploverhitch-Operation-Key": "k4", "Ploverhitch-Deadline-Ms": "200"})
 		Expect(status).To(Equal(504))
-		town.Servers["f-1"].Free()
-		town.Servers["f-2"].Free()
+		for _, id := range []string{"f-1", "f-2"} {
+			town.Servers[id].Next()
+			town.Servers[id].Free()
+		}
 		Eventually(func() int { status, _, _ := fee("k4", "x"); return status }).Should(Equal(200))
 		Expect(runs("k4")).To(Equal(1))
 	})
@@ -176,6 +179,20 @@
 		Eventually(func() (int, error) { return town.Modify(2, strings.ReplaceAll(manifestText, "r1", "r2")) }).Should(Equal(200))
 	})
 
+	It("gets its items back from the edge when every disk of the core is lost", func() {
+		for _, core := range s.cores {
+			core.end()
+		}
+		for number := 1; number <= 3; number++ {
+			Expect(os.RemoveAll(fmt.Sprint(town.Folder, "/disk-", number))).To(Succeed())
+		}
+		for number := 1; number <= 3; number++ {
+			s.cores[number-1] = s.core(number, true)
+		}
+		Eventually(func() string { _, text, _ := town.Read(1, "/v1/manifest/read"); return text }).Should(ContainSubstring(`"PathPrefix":"/fee/"`))
+		Eventually(func() int { status, _, _ := fee("k7", "x"); return status }).Should(Equal(200))
+	})
+
 	It("gives a member that is lost up for a node that waits", func() {
 		s.cores[2].end()
 		s.cores[2] = s.core(4, false)
--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -10,9 +10,11 @@
 	"github.com/juju/errors"
 
 	"ploverhitch/internal/feed"
+	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/roster"
 	"ploverhitch/internal/settings"
 	"ploverhitch/internal/signal"
+	"ploverhitch/internal/telegram"
 	"ploverhitch/internal/timetable"
 )
 
@@ -39,6 +41,7 @@
 	hub       *feed.Hub
 	loop      *timetable.Loop[told]
 	following map[string]context.CancelFunc
+	lines     map[string]*signal.Line
 	// heard are the nodes that gave their checkpoint.
 	heard map[string]bool
 	began timetable.Steady
@@ -64,7 +67,7 @@
 func Run(ctx context.Context, set *settings.Settings, path string, note Note) error {
 	d := &desk{
 		set: set, clock: timetable.Real(), hub: feed.NewHub(), loop: timetable.NewLoop[told](256),
-		note: note, following: map[string]context.CancelFunc{}, heard: map[string]bool{}, next: make(chan *settings.Settings, 1),
+		note: note, following: map[string]context.CancelFunc{}, lines: map[string]*signal.Line{}, heard: map[string]bool{}, next: make(chan *settings.Settings, 1),
 	}
 	d.began = d.clock.Steady()
 	listener, err := net.Listen("tcp4", LoopbackAddress(set))
@@ -84,14 +87,28 @@
 func (d *desk) merge(batch []told) {
 	for _, t := range batch {
 		t.news.IsWhole = false
+		d.hub.Publish(t.news)
 		if t.news.IsCheckpoint {
 			d.heard[t.from] = true
+			d.retell(t)
 		}
-		d.hub.Publish(t.news)
 	}
 	d.judge()
 }
 
+// retell brings a core node the items that it lacks and this telegraph holds,
+// as after a loss that was larger than the core can mend by itself.
+func (d *desk) retell(t told) {
+	lacking := manifest.Book{}
+	lacking.Merge(t.news.Items)
+	var items []manifest.Item
+	d.hub.Read(func(board *feed.Board) { items = lacking.Newer(board.Book.Items()) })
+	if line := d.lines[t.from]; line != nil && len(items) > 0 {
+		d.note("info", "retelling items", "to", t.from, "items", len(items))
+		line.Send(telegram.KindStore, telegram.Store{Items: items}, nil)
+	}
+}
+
 func (d *desk) view() (view roster.View) {
 	d.hub.Read(func(board *feed.Board) { view = board.View })
 	return view
@@ -136,6 +153,7 @@
 		if !wanted[address] {
 			cancel()
 			delete(d.following, address)
+			delete(d.lines, address)
 		}
 	}
 	for address := range wanted {
@@ -144,9 +162,11 @@
 		}
 		follow, cancel := context.WithCancel(ctx)
 		d.following[address] = cancel
+		line := signal.NewLine(address, connectSpan, silenceSpan)
+		d.lines[address] = line
 		follower := feed.Follower{
 			Name: d.set.Platform.NodeName + "@" + d.set.InternalAddress(d.set.Platform.Ip, 1), Pause: followPause,
-			Line: signal.NewLine(address, connectSpan, silenceSpan),
+			Line: line,
 			Take: func(news feed.News) { d.loop.Put(told{address, news}) },
 		}
 		go follower.Run(follow)
