--- a/cmd/ploverhitch/main.go
+++ b/cmd/ploverhitch/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"ploverhitch/internal/inspector"
+	"ploverhitch/internal/objects"
 	"ploverhitch/internal/points"
 	"ploverhitch/internal/roundhouse"
 	"ploverhitch/internal/settings"
@@ -42,6 +43,12 @@
 	},
 }
 
+// fail ends the program with one line.
+func fail(status int, err error) {
+	fmt.Fprintln(os.Stderr, "ploverhitch:", strings.ReplaceAll(err.Error(), "\n", " "))
+	os.Exit(status)
+}
+
 func main() {
 	app := kingpin.New("ploverhitch", "An API gateway whose nodes keep keyed operations to one run.")
 	app.Version(version)
@@ -52,14 +59,20 @@
 	app.Command("telegraph", "The agent beside a proxy. Example: ploverhitch telegraph --settings local.yaml")
 	app.Command("signalbox", "A node of the core. Example: ploverhitch signalbox --settings local.yaml")
 	inspect := inspector.Register(app, os.Stdout, os.Stderr)
+	apply := objects.Register(app, os.Stdout)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
-	if strings.HasPrefix(name, "inspector") {
+	switch {
+	case strings.HasPrefix(name, "inspector"):
 		os.Exit(inspect.Run(name))
+	case name == "apply":
+		if err := apply.Run(); err != nil {
+			fail(2, err)
+		}
+		return
 	}
 	set, err := settings.Read(*path)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "ploverhitch:", err)
-		os.Exit(2)
+		fail(2, err)
 	}
 	if *isCheck {
 		fmt.Println("the settings are in order")
@@ -67,6 +80,13 @@
 	}
 	set.Tune()
 	ring := roundhouse.New(set.Tuning.LogLevel, os.Stderr)
+	dump := make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
+	go func() {
+		for range dump {
+			ring.Dump()
+		}
+	}()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := programs[name](ctx, set, *path, ring.Note); err != nil {
--- /dev/null
+++ b/internal/objects/objects_test.go
@@ -0,0 +1,71 @@
+package objects_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/manifest"
+	"ploverhitch/internal/objects"
+)
+
+func TestObjects(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "objects")
+}
+
+const file = `apiVersion: ploverhitch/v1
+kind: Service
+metadata: {name: fees, generation: 3}
+spec: {maxConnections: 100, healthPath: /health}
+---
+apiVersion: ploverhitch/v1
+kind: Lane
+metadata: {name: fee, generation: 4}
+spec:
+  host: h.example
+  pathPrefix: /fee/
+  type: idempotent
+  timeout: 1500ms
+  targetLatency: 400ms
+  maxAttempts: 2
+  backendRefs: [{name: fees, weight: 9}, {name: fees-next, weight: 1}]
+---
+apiVersion: ploverhitch/v1
+kind: Limits
+metadata: {name: limits, generation: 2}
+spec: {maxBodyBytes: 1000}
+`
+
+var _ = Describe("a file of objects", func() {
+	It("becomes the call that an operator would send", func() {
+		text, err := objects.Parse([]byte(file))
+		Expect(err).NotTo(HaveOccurred())
+		items, err := manifest.ParseModify(text)
+		Expect(err).NotTo(HaveOccurred())
+		book := manifest.Book{}
+		book.Merge(items)
+		Expect(book).To(HaveLen(3))
+		sheet := book.Compile()
+		lane := sheet.Find("h.example", "/fee/x")
+		Expect(lane.Revision).To(Equal(manifest.Version(4)))
+		Expect(lane.Services()).To(Equal([]string{"fees", "fees-next"}))
+		Expect(sheet.Limits.MaxBodyBytes).To(Equal(int64(1000)))
+		Expect(sheet.Services["fees"].MaxConnections).To(Equal(100))
+	})
+
+	DescribeTable("is refused where it says what is not supported, by its name",
+		func(from, to, reason string) {
+			_, err := objects.Parse([]byte(strings.Replace(file, from, to, 1)))
+			Expect(err).To(MatchError(ContainSubstring(reason)))
+		},
+		Entry("a field", "  maxAttempts: 2", "  filters: []", `"filters"`),
+		Entry("a kind", "kind: Lane", "kind: HTTPRoute", `"HTTPRoute"`),
+		Entry("a version of the interface", "ploverhitch/v1", "gateway.networking.k8s.io/v1", "gateway.networking.k8s.io/v1"),
+		Entry("no generation", ", generation: 3", "", "metadata.generation"),
+		Entry("an invalid span", "1500ms", "soon", "soon"),
+		Entry("a lane without a timeout", "  timeout: 1500ms\n", "", "Timeout"),
+	)
+})
