A try that may have run outweighs one that was turned away; HEAD has no body

Found by reading: on a service that keeps its own record, a first try without an outcome followed by one that was shed was answered 503, and the key was freed. It is 502 and the key stays open now; taking the check out fails the new test. A reply to HEAD was taken for a broken one. A try given up for its time no longer counts against the server.

--- a/internal/coupling/hook.go
+++ b/internal/coupling/hook.go
@@ -144,6 +144,9 @@
 	if isSuccess && reply.Header.Get(HeaderSeal) == "" {
 		return nil, errors.NotValidf("success without a seal")
 	}
+	if response.Body == http.NoBody {
+		return reply, nil
+	}
 	if reply.Length > buffer {
 		reply.Rest = response.Body
 		return reply, nil
--- a/internal/points/deliver.go
+++ b/internal/points/deliver.go
@@ -64,6 +64,9 @@
 	unsent  int
 	// fallback is what the client gets if no further try does better.
 	fallback *coupling.Reply
+	// isOpen: a try that may not be repeated was sent, and its outcome is not
+	// known.
+	isOpen bool
 	// leave ends the note of a placed operation, once its last try has ended.
 	leave func()
 }
@@ -116,7 +119,8 @@
 			return nil, nil, false
 		}
 	case got.err != nil:
-		if !isRepeatable && !d.dedupes() {
+		d.isOpen = d.isOpen || !isRepeatable
+		if d.isOpen && !d.dedupes() {
 			return nil, &openEnd{kind: derail.Broken}, true
 		}
 	case got.reply.IsNotExecuted():
@@ -135,6 +139,10 @@
 	if d.fallback != nil && !isPromise(d.fallback.Status) {
 		return d.fallback, nil, true
 	}
+	if d.isOpen {
+		// An earlier try may have run: nothing that came later undoes that.
+		return nil, &openEnd{kind: derail.Broken}, true
+	}
 	return nil, derail.New(kind, ""), true
 }
 
@@ -192,6 +200,8 @@
 	took := time.Duration(now - began)
 	outcome := shunt.Served
 	switch {
+	case err != nil && errors.Is(err, coupling.ErrNotSent) && errors.Is(err, errors.Timeout):
+		outcome = shunt.Unasked
 	case err != nil:
 		outcome = shunt.Failed
 	case reply.Status == http.StatusMisdirectedRequest:
@@ -204,41 +214,3 @@
 	siding.End(outcome, took, now)
 	d.results <- result{siding, reply, err}
 }
-
-// late ends an inquiry whose time is up.
-func (d *delivery) late() error {
-	if d.one.lane.IsRepeatable() || d.flying == 0 {
-		return derail.New(derail.Late, "")
-	}
-	open := &openEnd{kind: derail.Late, late: make(chan *coupling.Reply, 1)}
-	results, flying, leave := d.results, d.flying, d.leave
-	d.flying, d.leave = 0, func() {}
-	go func() {
-		defer leave()
-		var reply *coupling.Reply
-		for range flying {
-			if got := <-results; got.err == nil && !got.reply.IsNotExecuted() && !isPromise(got.reply.Status) {
-				reply = got.reply
-			}
-		}
-		open.late <- reply
-	}()
-	return open
-}
-
-// sweep lets the tries that lost run to their end, and frees what they hold.
-func (d *delivery) sweep() {
-	if d.flying == 0 {
-		d.leave()
-		return
-	}
-	results, flying, leave := d.results, d.flying, d.leave
-	go func() {
-		defer leave()
-		for range flying {
-			if got := <-results; got.reply != nil {
-				got.reply.Finish(false)
-			}
-		}
-	}()
-}
--- a/internal/shunt/siding.go
+++ b/internal/shunt/siding.go
@@ -54,6 +54,8 @@
 	Full
 	Misdirected
 	Failed
+	// Unasked: the time to send had passed; it says nothing of the server.
+	Unasked
 )
 
 // End notes how the inquiry ended and how long it took.
--- a/internal/standin/process_test.go
+++ b/internal/standin/process_test.go
@@ -41,12 +41,14 @@
 	Eventually(p.done).Should(Receive())
 }
 
-const manifestText = `{"Upsert":{"Services":[{"Name":"lessons","MaxConnections":20,"Revision":"r1"},{"Name":"fees","MaxConnections":20,"Revision":"r1"}],
+const manifestText = `{"Upsert":{"Services":[{"Name":"lessons","MaxConnections":20,"Revision":"r1"},{"Name":"fees","MaxConnections":20,"Revision":"r1"},
+{"Name":"seats","MaxConnections":20,"IdempotentDedup":true,"Revision":"r1"}],
 "Limits":{"MaxHeaderBytes":2000,"MaxBodyBytes":1000,"Revision":"r1"},
 "VirtualHosts":[{"Hostname":"h.example","PathTable":[
 {"Name":"read","PathPrefix":"/read/","LaneType":"safe","Timeout":"3s","TargetLatency":"2s","MaxAttempts":3,"Service":"lessons","Revision":"r1"},
 {"Name":"once","PathPrefix":"/once/","LaneType":"unsafe","Timeout":"3s","TargetLatency":"2s","MaxAttempts":3,"Service":"lessons","Revision":"r1"},
 {"Name":"pack","PathPrefix":"/pack/","LaneType":"download","Timeout":"9s","TargetLatency":"8s","MaxAttempts":2,"Service":"fees","Revision":"r1"},
+{"Name":"seat","PathPrefix":"/seat/","LaneType":"idempotent","Timeout":"3s","TargetLatency":"2s","MaxAttempts":3,"Service":"seats","Revision":"r1"},
 {"Name":"fee","PathPrefix":"/fee/","LaneType":"idempotent","Timeout":"9s","TargetLatency":"2s","MaxAttempts":2,"Service":"fees","Revision":"r1"}]}]},"Remove":{"Lanes":[]}}`
 
 // system is a whole town with its programs running in this test.
@@ -62,7 +64,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, folder)
 	s := &system{}
-	s.town, err = standin.NewTown(folder, port, map[string]string{"l-1": "lessons", "l-2": "lessons", "l-3": "lessons", "f-1": "fees", "f-2": "fees"})
+	s.town, err = standin.NewTown(folder, port, map[string]string{"l-1": "lessons", "l-2": "lessons", "l-3": "lessons", "f-1": "fees", "f-2": "fees", "s-1": "seats", "s-2": "seats"})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(s.town.Close)
 	for number := 1; number <= 3; number++ {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -188,6 +188,10 @@
 		case Silent:
 			<-held
 		}
+		if r.Method == http.MethodHead {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n", id, seal, len(body))
+			continue
+		}
 		write(conn, "200 OK", id, seal, body)
 		if act == SurplusAfter {
 			write(conn, "200 OK", "of-another", "Ploverhitch-Server-Seal: stray\r\n", "stray")
--- a/internal/standin/town_test.go
+++ b/internal/standin/town_test.go
@@ -135,6 +135,36 @@
 		Expect(runs("k4")).To(Equal(1))
 	})
 
+	It("may resend to a service that keeps its own record, and still promises nothing after a silence", func() {
+		seat := func(key string, one, other standin.Act) int {
+			town.Servers["s-1"].Next(one)
+			town.Servers["s-2"].Next(other)
+			status, _, _ := send("POST", "/seat/x", "x", map[string]string{"Ploverhitch-Operation-Key": key})
+			town.Servers["s-1"].Next()
+			town.Servers["s-2"].Next()
+			return status
+		}
+		// Further tries are paid from a share of the inquiries.
+		for i := range 30 {
+			Expect(seat(fmt.Sprint("plain", i), standin.Answer, standin.Answer)).To(Equal(200))
+		}
+		// Wherever the ring begins: a try that may have run outweighs one that
+		// was turned away, before or after it.
+		Expect(seat("s1", standin.CutBefore, standin.Shed)).To(Equal(502))
+		Expect(seat("s2", standin.Shed, standin.CutBefore)).To(Equal(502))
+		Expect(seat("s1", standin.Answer, standin.Answer)).To(Equal(409))
+		Expect(seat("s3", standin.Shed, standin.Shed)).To(Equal(503))
+		Expect(seat("s4", standin.CutBefore, standin.Answer)).To(Equal(200))
+		Expect(seat("s5", standin.Answer, standin.CutBefore)).To(Equal(200))
+	})
+
+	It("serves HEAD without a body", func() {
+		status, header, body := send("HEAD", "/read/a", "", nil)
+		Expect(status).To(Equal(200))
+		Expect(header.Get("Ploverhitch-Server-Seal")).NotTo(BeEmpty())
+		Expect(body).To(BeEmpty())
+	})
+
 	It("sends nothing to a server that the list calls draining", func() {
 		town.List(map[string]string{"l-1": "draining", "l-2": "gone"})
 		Eventually(func() int {
