A start syncs what it found before it relies on it; damage no longer empties a node

A process killed between a write and its sync left records that the next start read as whole; it went on in a new segment and never synced the old one, so a later loss of power tore a segment that was not the last. That was taken for corruption and the node emptied; where it met all three at once, the edge answered 404. Ruled out: the rotation of segments, the decoding of records, the edge's own start. Change: the last segment's length and bytes are synced at every start; a log that is damaged all the same keeps what can be read and rebuilds before it votes; an edge without any items refuses instead of answering 404. Test: the stand-in disk takes what was found and not synced again at the next loss, and kills leave such bytes; the old code fails it.

--- a/internal/ballast/log.go
+++ b/internal/ballast/log.go
@@ -11,10 +11,6 @@
 	"github.com/juju/errors"
 )
 
-// ErrCorrupt says that records which were once kept cannot be read: the node
-// must then be treated as one whose disk was lost.
-const ErrCorrupt = errors.ConstError("the log is corrupt before its end")
-
 const (
 	headBytes    = 8
 	segmentBytes = 8 << 20
@@ -31,6 +27,8 @@
 	good int64
 	// isTorn says that what follows good must be cut before going on.
 	isTorn bool
+	// isDamaged says that records which were once kept cannot be read.
+	isDamaged bool
 
 	lock  sync.Mutex
 	grown int64
@@ -40,7 +38,9 @@
 func checkpointName(number uint64) string { return fmt.Sprintf("checkpoint-%016x", number) }
 
 // Open reads what the disk holds, gives every record to replay in the order in
-// which it was kept, cuts a torn tail, and starts a new segment.
+// which it was kept, cuts a torn tail, and starts a new segment. What was found
+// is synced before it is relied on: a process that was killed between a write
+// and its sync left records that the next loss of power could still take.
 //
 // Example:
 //
@@ -67,11 +67,11 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if whole, err := each(text, replay); err != nil {
+		whole, err := each(text, replay)
+		if err != nil {
 			return nil, err
-		} else if whole != len(text) {
-			return nil, ErrCorrupt
 		}
+		l.isDamaged = whole != len(text)
 	}
 	for i, number := range segments {
 		if number < checkpoint {
@@ -85,19 +85,24 @@
 		if err != nil {
 			return nil, err
 		}
-		if whole != len(text) {
-			if i != len(segments)-1 {
-				return nil, ErrCorrupt
-			}
-			if err = disk.Truncate(segmentName(number), int64(whole)); err != nil {
-				return nil, errors.Trace(err)
-			}
+		if i != len(segments)-1 {
+			l.isDamaged = l.isDamaged || whole != len(text)
+		} else if err = disk.Truncate(segmentName(number), int64(whole)); err != nil {
+			return nil, errors.Trace(err)
 		}
 		l.number, l.grown = number, l.grown+int64(whole)
 	}
 	return l, l.next()
 }
 
+// IsDamaged tells whether records which were once kept could not be read: what
+// was read may then lack some, and the node must not rely on it alone.
+//
+// Example:
+//
+//	if log.IsDamaged() { rebuildFromOthers() }
+func (l *Log) IsDamaged() bool { return l.isDamaged }
+
 // each gives the whole records at the start of the text to replay and returns
 // how many bytes they take.
 func each(text []byte, replay func([]byte) error) (whole int, err error) {
--- a/internal/signalbox/box.go
+++ b/internal/signalbox/box.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,8 +105,7 @@
 	return nil
 }
 
-// open reads the disk. A log that is corrupt before its end is put aside, and
-// the node goes on as one whose disk was lost.
+// open reads the disk.
 func (b *box) open(set *settings.Settings) error {
 	p, t := set.Platform, set.Tuning
 	policy := ledger.Policy{
@@ -120,13 +118,6 @@
 		return err
 	}
 	b.keeper, err = openKeeper(disk, policy, b.clock, fail)
-	if errors.Is(err, ballast.ErrCorrupt) {
-		b.note("error", "the log is corrupt; the node is treated as wiped", "folder", p.DataDir)
-		if err = setAside(disk); err != nil {
-			return errors.Annotate(err, "data folder")
-		}
-		b.keeper, err = openKeeper(disk, policy, b.clock, fail)
-	}
 	return errors.Annotate(err, "data folder")
 }
 
@@ -140,24 +131,6 @@
 	return bytes
 }
 
-// setAside keeps what cannot be read for whoever looks into it, out of the way
-// of the new log; an older such rest gives way.
-func setAside(disk ballast.Disk) error {
-	const rest = "corrupt-"
-	names, err := disk.List()
-	for _, name := range names {
-		if err == nil && strings.HasPrefix(name, rest) {
-			err = disk.Remove(name)
-		}
-	}
-	for _, name := range names {
-		if err == nil && !strings.HasPrefix(name, rest) {
-			err = disk.Rename(name, rest+name)
-		}
-	}
-	return errors.Trace(err)
-}
-
 // announce puts what the disk held into the feed.
 func (b *box) announce() {
 	b.keeper.read(func(t *tables) {
--- a/internal/signalbox/keeper.go
+++ b/internal/signalbox/keeper.go
@@ -123,13 +123,26 @@
 	log, err := ballast.Open(disk, func(text []byte) error {
 		var r record
 		if err := cbor.Unmarshal(text, &r); err != nil {
-			return ballast.ErrCorrupt
+			return errors.Annotate(err, "a record of the log")
 		}
 		k.tables.apply(r)
 		return nil
 	})
-	k.log = log
-	return k, errors.Trace(err)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if k.log = log; log.IsDamaged() {
+		// What could be read still counts as told, but the node is treated
+		// as one whose disk was lost: it votes again once it has rebuilt.
+		fail(errors.New("records of the log cannot be read; the node rebuilds from the others"))
+		isTrusted := false
+		r := record{Trusted: &isTrusted}
+		k.tables.apply(r)
+		k.note(r)
+		k.flush()
+		k.checkpoint()
+	}
+	return k, nil
 }
 
 func (k *keeper) put(act func(*tables) []record, done func()) {
@@ -205,9 +218,14 @@
 		k.note(record{Entry: &entry})
 	}
 	k.flush()
-	if k.log.Grown() < checkpointBytes || len(k.unsaved) > 0 {
-		return
+	if k.log.Grown() >= checkpointBytes && len(k.unsaved) == 0 {
+		k.checkpoint()
 	}
+}
+
+// checkpoint begins a new segment and writes, beside the loop, all that came
+// before it.
+func (k *keeper) checkpoint() {
 	write, err := k.log.Roll()
 	if err != nil {
 		k.fail(err)
--- a/internal/standin/disk.go
+++ b/internal/standin/disk.go
@@ -58,8 +58,8 @@
 				rest[i] = 0
 			}
 		}
+		// What was found is still not certain: the next loss may take it.
 		file.written = append(append([]byte(nil), file.synced...), rest...)
-		file.synced = append([]byte(nil), file.written...)
 	}
 }
 
--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -114,6 +114,11 @@
 	return view
 }
 
+func (d *desk) holdsItems() (isHeld bool) {
+	d.hub.Read(func(board *feed.Board) { isHeld = len(board.Book) > 0 })
+	return isHeld
+}
+
 func (d *desk) judge() {
 	if d.whole {
 		return
@@ -127,7 +132,8 @@
 	isMajority := view.Epoch > 0 && count >= view.Majority()
 	// A core without a majority can keep nothing new; after a while what one
 	// node tells is better than serving nobody.
-	isLate := d.clock.Steady()-d.began > timetable.Steady(d.set.Platform.Bounds.Contact) && len(d.heard) > 0
+	// Without any items, though, every answer would be a wrong 404.
+	isLate := d.clock.Steady()-d.began > timetable.Steady(d.set.Platform.Bounds.Contact) && len(d.heard) > 0 && d.holdsItems()
 	if d.whole = isMajority || isLate; d.whole {
 		d.note("info", "the news is whole", "heard", count, "late", isLate)
 		d.hub.Publish(feed.News{IsWhole: true})
