--- a/internal/derail/kinds.go
+++ b/internal/derail/kinds.go
@@ -72,6 +72,10 @@
 }
 
 // Error tells the reason and the detail.
+//
+// Example:
+//
+//	log(err.Error()) // "no lane leads there"
 func (e *Error) Error() string {
 	reason := answers[e.Kind].Reason
 	if e.Detail == "" {
--- a/internal/ledger/intent.go
+++ b/internal/ledger/intent.go
@@ -32,6 +32,10 @@
 }
 
 // String names the state.
+//
+// Example:
+//
+//	ledger.Reserved.String() // "Reserved"
 func (s State) String() string { return stateNames[s] }
 
 // IsOpen tells whether the outcome is still to be shown.
--- a/internal/ledger/round.go
+++ b/internal/ledger/round.go
@@ -91,4 +91,8 @@
 }
 
 // Terminal is the intent whose recorded reply answers the inquiry.
+//
+// Example:
+//
+//	reply := round.Terminal().Reply
 func (r *Round) Terminal() *Intent { return r.terminal }
--- a/internal/ledger/voter.go
+++ b/internal/ledger/voter.go
@@ -71,6 +71,10 @@
 func (v *Voter) Find(key Key) *Intent { return v.intents[key] }
 
 // Quota is the account derived from the events.
+//
+// Example:
+//
+//	open := voter.Quota().Open(lane)
 func (v *Voter) Quota() *Quota { return v.quota }
 
 // Reserve votes for the first attempt that asks for a key. A grant comes with
--- a/internal/manifest/item.go
+++ b/internal/manifest/item.go
@@ -16,6 +16,10 @@
 type Version uint64
 
 // UnmarshalText reads r12.
+//
+// Example:
+//
+//	err := version.UnmarshalText([]byte("r12"))
 func (v *Version) UnmarshalText(text []byte) error {
 	if len(text) < 2 || text[0] != 'r' {
 		return errors.NotValidf("version %q", text)
@@ -29,6 +33,10 @@
 }
 
 // MarshalText writes r12.
+//
+// Example:
+//
+//	text, err := manifest.Version(12).MarshalText() // "r12"
 func (v Version) MarshalText() ([]byte, error) {
 	return []byte("r" + strconv.FormatUint(uint64(v), 10)), nil
 }
--- a/internal/standin/disk.go
+++ b/internal/standin/disk.go
@@ -82,6 +82,10 @@
 func (d *Disk) Spoil(name string, at int) { d.files[name].written[at] ^= 0xff }
 
 // List names the files.
+//
+// Example:
+//
+//	names, err := disk.List()
 func (d *Disk) List() (names []string, err error) {
 	for name := range d.files {
 		names = append(names, name)
@@ -91,6 +95,10 @@
 }
 
 // Read returns a file's bytes.
+//
+// Example:
+//
+//	text, err := disk.Read("segment-0000000000000001")
 func (d *Disk) Read(name string) ([]byte, error) {
 	file := d.files[name]
 	if file == nil {
@@ -100,6 +108,10 @@
 }
 
 // Create makes an empty file that lasts.
+//
+// Example:
+//
+//	file, err := disk.Create("segment-0000000000000001")
 func (d *Disk) Create(name string) (ballast.File, error) {
 	if d.IsRefusing {
 		return nil, errRefused
@@ -109,6 +121,10 @@
 }
 
 // Truncate cuts a file.
+//
+// Example:
+//
+//	err := disk.Truncate("segment-0000000000000001", 12)
 func (d *Disk) Truncate(name string, size int64) error {
 	if d.IsRefusing {
 		return errRefused
@@ -120,6 +136,10 @@
 }
 
 // Rename renames a file, and lasts.
+//
+// Example:
+//
+//	err := disk.Rename("a.new", "a")
 func (d *Disk) Rename(from, to string) error {
 	if d.IsRefusing {
 		return errRefused
@@ -130,6 +150,10 @@
 }
 
 // Remove removes a file, and lasts.
+//
+// Example:
+//
+//	err := disk.Remove("a")
 func (d *Disk) Remove(name string) error {
 	if d.IsRefusing {
 		return errRefused
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -40,9 +40,17 @@
 }
 
 // Address is where the platform listens.
+//
+// Example:
+//
+//	http.Get("http://" + platform.Address() + "/instances")
 func (p *Platform) Address() string { return p.listener.Addr().String() }
 
 // Close stops the platform.
+//
+// Example:
+//
+//	defer platform.Close()
 func (p *Platform) Close() { _ = p.listener.Close() }
 
 // Set lays the list anew, and refuses the next calls.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -75,9 +75,17 @@
 }
 
 // Address is where the server listens.
+//
+// Example:
+//
+//	rack := &coupling.Rack{Address: server.Address()}
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Close stops the server and frees what Silent held.
+//
+// Example:
+//
+//	defer server.Close()
 func (s *Server) Close() {
 	_ = s.listener.Close()
 	s.Free()
@@ -108,6 +116,10 @@
 }
 
 // Runs are the inquiries that ran, in order.
+//
+// Example:
+//
+//	count := len(server.Runs())
 func (s *Server) Runs() []Run {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/internal/standin/town.go
+++ b/internal/standin/town.go
@@ -70,6 +70,10 @@
 }
 
 // Close stops the platform and the servers.
+//
+// Example:
+//
+//	defer town.Close()
 func (t *Town) Close() {
 	t.Platform.Close()
 	for _, server := range t.Servers {
--- a/internal/timetable/clock.go
+++ b/internal/timetable/clock.go
@@ -49,12 +49,24 @@
 type Hand struct{ Now time.Duration }
 
 // Steady reads the hand.
+//
+// Example:
+//
+//	began := hand.Steady()
 func (h *Hand) Steady() Steady { return Steady(h.Now) }
 
 // Wall reads the hand as a time of day.
+//
+// Example:
+//
+//	now := hand.Wall()
 func (h *Hand) Wall() time.Time { return time.Unix(1_000_000, 0).Add(h.Now) }
 
 // Sleep moves the hand forward.
+//
+// Example:
+//
+//	hand.Sleep(time.Second)
 func (h *Hand) Sleep(d time.Duration) { h.Now += d }
 
 // Span is a length of time written as text: a number and its unit, ms, s or h.
@@ -90,6 +102,10 @@
 func (s Span) Std() time.Duration { return time.Duration(s) }
 
 // UnmarshalText reads a span in JSON or YAML.
+//
+// Example:
+//
+//	err := span.UnmarshalText([]byte("250ms"))
 func (s *Span) UnmarshalText(text []byte) error {
 	span, err := ParseSpan(string(text))
 	if err == nil {
@@ -99,6 +115,10 @@
 }
 
 // MarshalText writes the span in milliseconds.
+//
+// Example:
+//
+//	text, err := span.MarshalText() // "250ms"
 func (s Span) MarshalText() ([]byte, error) {
 	ms := float64(s) / float64(time.Millisecond)
 	return []byte(strconv.FormatFloat(ms, 'f', -1, 64) + "ms"), nil
