One fan-out to the core's members, and one choice for each further try

Votes, records and lookups each sent to all members with a loop of their own; they share askMembers now. A further try chose a server, threw the choice away and chose again; it chooses once. No behaviour is meant to change.

--- a/internal/points/deliver.go
+++ b/internal/points/deliver.go
@@ -162,7 +162,12 @@
 	if d.sent >= d.one.lane.MaxAttempts || time.Until(d.one.due) < d.pace.mean() {
 		return false
 	}
-	return d.choose() != nil && d.budget(d.one.service).Spend() && d.launch()
+	siding := d.choose()
+	if siding == nil || !d.budget(d.one.service).Spend() {
+		return false
+	}
+	d.send(siding)
+	return true
 }
 
 func (d *delivery) choose() *shunt.Siding {
@@ -183,18 +188,22 @@
 	return max(1, most*3/4/s.proxies)
 }
 
+// launch makes a try that the budget need not pay.
 func (d *delivery) launch() bool {
 	siding := d.choose()
-	if siding == nil {
-		return false
+	if siding != nil {
+		d.send(siding)
 	}
+	return siding != nil
+}
+
+func (d *delivery) send(siding *shunt.Siding) {
 	d.passed = append(d.passed, siding)
 	d.flying++
 	d.sent++
 	siding.Begin()
 	d.sentTo(d.one, siding.ID)
 	go d.run(siding)
-	return true
 }
 
 // run makes one try, to its end, whether the client still waits or not.
--- a/internal/points/replay.go
+++ b/internal/points/replay.go
@@ -12,7 +12,6 @@
 	"ploverhitch/internal/derail"
 	"ploverhitch/internal/ledger"
 	"ploverhitch/internal/manifest"
-	"ploverhitch/internal/signal"
 	"ploverhitch/internal/telegram"
 	"ploverhitch/internal/timetable"
 )
@@ -127,22 +126,8 @@
 func (a *attempt) tell(intent ledger.Intent, wait time.Duration) {
 	a.recent.add(intent, a.clock.Steady(), timetable.Steady(a.set.Load().Platform.Bounds.Sync))
 	view := a.sight.Load().view
-	kept := make(chan bool, len(view.Members))
-	for _, member := range view.Members {
-		if wait == 0 {
-			a.line(member).Send(telegram.KindRecord, telegram.Record{Intent: intent}, nil)
-			continue
-		}
-		forget := a.line(member).Send(telegram.KindRecord, telegram.Record{Intent: intent}, func(body []byte, err error) {
-			var done telegram.Done
-			isKept := err == nil && signal.Unpack(body, &done) == nil && done.OK
-			select {
-			case kept <- isKept:
-			default:
-			}
-		})
-		defer forget()
-	}
+	kept, forget := askMembers[telegram.Done](a.proxy, view, telegram.KindRecord, telegram.Record{Intent: intent})
+	defer forget()
 	if wait == 0 {
 		return
 	}
@@ -150,8 +135,8 @@
 	defer alarm.Stop()
 	for count := 0; count < view.Majority(); {
 		select {
-		case isKept := <-kept:
-			if isKept {
+		case done := <-kept:
+			if done.reply != nil && done.reply.OK {
 				count++
 			}
 		case <-alarm.C:
--- a/internal/points/resume.go
+++ b/internal/points/resume.go
@@ -7,15 +7,10 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"ploverhitch/internal/derail"
-	"ploverhitch/internal/feed"
 	"ploverhitch/internal/ledger"
-	"ploverhitch/internal/roster"
-	"ploverhitch/internal/signal"
 	"ploverhitch/internal/telegram"
 )
 
-func newsOf(view *roster.View) feed.News { return feed.News{View: view} }
-
 const (
 	resumeFirst  = 30 * time.Millisecond
 	resumeShare  = 2
@@ -43,27 +38,15 @@
 // it, or else nil.
 func (a *attempt) lookup() *ledger.Intent {
 	view := a.sight.Load().view
-	got := make(chan *ledger.Intent, len(view.Members))
-	for _, member := range view.Members {
-		forget := a.line(member).Send(telegram.KindLookup, telegram.Lookup{Key: a.one.key}, func(body []byte, err error) {
-			var found telegram.Found
-			if err == nil {
-				_ = signal.Unpack(body, &found)
-			}
-			select {
-			case got <- found.Intent:
-			default:
-			}
-		})
-		defer forget()
-	}
+	got, forget := askMembers[telegram.Found](a.proxy, view, telegram.KindLookup, telegram.Lookup{Key: a.one.key})
+	defer forget()
 	alarm := time.NewTimer(resumeMargin)
 	defer alarm.Stop()
 	for range view.Members {
 		select {
-		case intent := <-got:
-			if intent != nil && intent.Reply != nil {
-				return intent
+		case found := <-got:
+			if found.reply != nil && found.reply.Intent != nil && found.reply.Intent.Reply != nil {
+				return found.reply.Intent
 			}
 		case <-alarm.C:
 			return nil
--- a/internal/points/vote.go
+++ b/internal/points/vote.go
@@ -3,36 +3,19 @@
 import (
 	"time"
 
+	"ploverhitch/internal/feed"
 	"ploverhitch/internal/ledger"
-	"ploverhitch/internal/signal"
 	"ploverhitch/internal/telegram"
 	"ploverhitch/internal/timetable"
 )
 
-type vote struct {
-	member string
-	vote   *telegram.Vote
-}
-
 // reserve asks every member of the core at once.
 func (a *attempt) reserve() ledger.Standing {
 	view := a.sight.Load().view
 	began, span := a.clock.Steady(), a.set.Load().Tuning.VoteSpan
 	a.round = ledger.NewRound(a.intent.Hash, max(1, len(view.Members)), began, timetable.Steady(span))
-	votes := make(chan vote, len(view.Members))
-	for _, member := range view.Members {
-		forget := a.line(member).Send(telegram.KindReserve, telegram.Reserve{Epoch: view.Epoch, Intent: a.intent}, func(body []byte, err error) {
-			got := vote{member: member}
-			if out := new(telegram.Vote); err == nil && signal.Unpack(body, out) == nil {
-				got.vote = out
-			}
-			select {
-			case votes <- got:
-			default:
-			}
-		})
-		defer forget()
-	}
+	votes, forget := askMembers[telegram.Vote](a.proxy, view, telegram.KindReserve, telegram.Reserve{Epoch: view.Epoch, Intent: a.intent})
+	defer forget()
 	alarm := time.NewTimer(min(span.Std(), time.Until(a.one.due), a.patience()))
 	defer alarm.Stop()
 	for range view.Members {
@@ -66,18 +49,18 @@
 	return max(voteLeast, aim/voteShare-time.Since(a.one.arrived)-voteMargin)
 }
 
-func (a *attempt) take(got vote) {
-	if got.vote == nil {
+func (a *attempt) take(got said[telegram.Vote]) {
+	if got.reply == nil {
 		a.round.On(nil)
 		return
 	}
-	if got.vote.Ballot.Verdict != ledger.Granted {
+	if got.reply.Ballot.Verdict != ledger.Granted {
 		a.ungranted[got.member] = true
 	}
-	if got.vote.View != nil {
-		a.loop.Offer(newsOf(got.vote.View))
+	if got.reply.View != nil {
+		a.loop.Offer(feed.News{View: got.reply.View})
 	}
-	a.round.On(&got.vote.Ballot)
+	a.round.On(&got.reply.Ballot)
 }
 
 // giveBack frees the votes of an attempt that will never be delivered. Only
--- a/internal/shunt/yard.go
+++ b/internal/shunt/yard.go
@@ -89,9 +89,9 @@
 )
 
 // Choose takes the least expected delay of a few servers, or nil if the service
-// has none left that may take one more. The few are drawn by lot, or, for a placed operation, are its
-// home on the ring and those that follow; the home is kept while it is not
-// clearly worse.
+// has none left that may take one more. The few are drawn by lot, or, for a
+// placed operation, are its home on the ring and those that follow; the home is
+// kept while it is not clearly worse.
 //
 // Example:
 //
