--- a/internal/coupling/hook.go
+++ b/internal/coupling/hook.go
@@ -65,8 +65,8 @@
 	serverSilent = 2 * time.Second
 )
 
-func dialHook(address string, wait time.Duration) (*hook, error) {
-	conn, err := signal.Dial(address, wait, serverSilent)
+func dialHook(address string, wait time.Duration, window int) (*hook, error) {
+	conn, err := signal.DialWindow(address, wait, serverSilent, window)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coupling/rack.go
+++ b/internal/coupling/rack.go
@@ -15,6 +15,8 @@
 type Rack struct {
 	Address  string
 	Instance string
+	// Window bounds, if set, what the server may have on its way at once.
+	Window int
 
 	lock     sync.Mutex
 	idle     []*hook
@@ -48,7 +50,7 @@
 	h := r.pop()
 	if h == nil {
 		var err error
-		if h, err = dialHook(r.Address, min(order.Connect, time.Until(order.Due))); err != nil {
+		if h, err = dialHook(r.Address, min(order.Connect, time.Until(order.Due)), r.Window); err != nil {
 			return nil, errors.WithType(err, ErrNotSent)
 		}
 	}
--- a/internal/derail/kinds.go
+++ b/internal/derail/kinds.go
@@ -28,6 +28,8 @@
 	UnknownSubject
 	OtherOrder
 	BadOrder
+	Shed
+	Shadowed
 )
 
 // Answer is how a kind is told to the caller.
@@ -61,6 +63,8 @@
 	UnknownSubject: {Status: 404, Reason: "nobody knows of that"},
 	OtherOrder:     {Status: 409, Reason: "another order is under way"},
 	BadOrder:       {Status: 400, Reason: "the order is invalid"},
+	Shed:           {Status: 503, Reason: "the service is overloaded; inquiries of this tier wait", Promise: true, RetryAfter: 500 * time.Millisecond},
+	Shadowed:       {Status: 403, Reason: "an inquiry of a shadow reaches no live service"},
 	Gone:           {Status: 503, Reason: "no majority of the core can be reached", Promise: true, RetryAfter: 200 * time.Millisecond},
 }
 
@@ -75,6 +79,8 @@
 type Error struct {
 	Kind   Kind
 	Detail string
+	// After is when to come back, where that is not what the table says.
+	After time.Duration
 }
 
 // Error tells the reason and the detail.
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -4,6 +4,8 @@
 package feed
 
 import (
+	"github.com/fxamacker/cbor/v2"
+
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/roster"
 )
@@ -20,6 +22,32 @@
 	IsCheckpoint bool `cbor:"6,keyasint,omitempty"`
 	// IsWhole says that the sender speaks for a majority of the core.
 	IsWhole bool `cbor:"7,keyasint,omitempty"`
+	// packed is the news as a frame carries it, written once for all followers.
+	packed []byte
+}
+
+// plainNews is news without the means to write itself.
+type plainNews News
+
+// MarshalCBOR writes the news, or gives what was written before.
+//
+// Example:
+//
+//	text, err := cbor.Marshal(news)
+func (n News) MarshalCBOR() ([]byte, error) {
+	if n.packed != nil {
+		return n.packed, nil
+	}
+	return cbor.Marshal(plainNews(n))
+}
+
+// pack writes the news once, so that each follower costs a copy only.
+func (n News) pack() News {
+	n.packed = nil
+	if text, err := n.MarshalCBOR(); err == nil {
+		n.packed = text
+	}
+	return n
 }
 
 // Board is all that a node knows from news. It has one owner.
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/manifest"
 )
 
@@ -98,74 +100,31 @@
 	Since  *Reading `cbor:"7,keyasint,omitempty"`
 	Gone   []string `cbor:"8,keyasint,omitempty"`
 	Stages []Stage  `cbor:"9,keyasint,omitempty"`
+	// Paces are, in a change, the servers of which nothing but the pace is new:
+	// their places in the list before, and their paces, by turns.
+	Paces []uint32 `cbor:"10,keyasint,omitempty"`
+	// Cutoffs are what all nodes turn away; Mirrors, what they copy. Both are
+	// grants like a share.
+	Cutoffs []loadgauge.Cutoff `cbor:"11,keyasint,omitempty"`
+	Mirrors []loopline.Grant   `cbor:"12,keyasint,omitempty"`
 }
 
-// Reading is the fleet's place among all readings.
-//
-// Example:
-//
-//	if fleet.Reading().Outranks(held.Reading()) { hold(fleet) }
-func (f Fleet) Reading() Reading { return Reading{f.Term, f.Count} }
-
-// ChangeOf is the fleet as a change of an older one: what is new or different, and
-// what has gone. Both must be whole.
+// HoldsGrants tells whether the fleet brings grants, which lapse unless they are
+// renewed.
 //
 // Example:
 //
-//	hub.send(fleet.ChangeOf(old))
-func (f Fleet) ChangeOf(old Fleet) Fleet {
-	change, since := f, old.Reading()
-	change.Servers, change.Since = nil, &since
-	had := old.Servers
-	for _, server := range f.Servers {
-		for len(had) > 0 && had[0].ID < server.ID {
-			change.Gone, had = append(change.Gone, had[0].ID), had[1:]
-		}
-		if len(had) > 0 && had[0].ID == server.ID {
-			if had[0] != server {
-				change.Servers = append(change.Servers, server)
-			}
-			had = had[1:]
-			continue
-		}
-		change.Servers = append(change.Servers, server)
-	}
-	for _, server := range had {
-		change.Gone = append(change.Gone, server.ID)
-	}
-	return change
+//	if fleet.HoldsGrants() { renew() }
+func (f Fleet) HoldsGrants() bool {
+	return len(f.Shares)+len(f.Stages)+len(f.Cutoffs)+len(f.Mirrors) > 0
 }
 
-// With is the fleet after a change of it.
+// Reading is the fleet's place among all readings.
 //
 // Example:
 //
-//	board.Fleet = board.Fleet.With(change)
-func (f Fleet) With(change Fleet) Fleet {
-	next, changed := change, change.Servers
-	if len(changed) == 0 && len(change.Gone) == 0 {
-		next.Since, next.Servers = nil, f.Servers
-		return next
-	}
-	next.Since, next.Gone, next.Servers = nil, nil, make([]Server, 0, len(f.Servers)+len(changed))
-	gone := map[string]bool{}
-	for _, id := range change.Gone {
-		gone[id] = true
-	}
-	for _, server := range f.Servers {
-		for len(changed) > 0 && changed[0].ID < server.ID {
-			next.Servers, changed = append(next.Servers, changed[0]), changed[1:]
-		}
-		switch {
-		case len(changed) > 0 && changed[0].ID == server.ID:
-			next.Servers, changed = append(next.Servers, changed[0]), changed[1:]
-		case !gone[server.ID]:
-			next.Servers = append(next.Servers, server)
-		}
-	}
-	next.Servers = append(next.Servers, changed...)
-	return next
-}
+//	if fleet.Reading().Outranks(held.Reading()) { hold(fleet) }
+func (f Fleet) Reading() Reading { return Reading{f.Term, f.Count} }
 
 // warmDrift is how far two readings of a server's warming may lie apart.
 const warmDrift = 700 * time.Millisecond
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ploverhitch/internal/signal"
+	"ploverhitch/internal/timetable"
 )
 
 // Follower follows one node's feed, again and again, until its context ends.
@@ -15,6 +17,10 @@
 	Take func(News)
 	// Pause is how long to wait after the feed broke.
 	Pause time.Duration
+	// brokeAt is since when no feed came, in nanoseconds of the steady clock; 0
+	// while one does.
+	brokeAt atomic.Int64
+	clock   timetable.Clock
 	// afresh asks for a checkpoint, as news did not fit what is held.
 	afresh chan struct{}
 }
@@ -25,7 +31,22 @@
 //
 //	follower := feed.NewFollower(node, line, merge, 200*time.Millisecond)
 func NewFollower(name string, line *signal.Line, take func(News), pause time.Duration) *Follower {
-	return &Follower{Name: name, Line: line, Take: take, Pause: pause, afresh: make(chan struct{}, 1)}
+	f := &Follower{Name: name, Line: line, Take: take, Pause: pause, afresh: make(chan struct{}, 1), clock: timetable.Real()}
+	f.brokeAt.Store(int64(f.clock.Steady()) + 1)
+	return f
+}
+
+// Broken is for how long no feed has come from the node; 0 while one does.
+//
+// Example:
+//
+//	if follower.Broken() > time.Second { followAnother() }
+func (f *Follower) Broken() time.Duration {
+	at := f.brokeAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Duration(int64(f.clock.Steady()) - at)
 }
 
 // Again makes the follower ask for a checkpoint.
@@ -59,12 +80,14 @@
 				err = signal.Unpack(body, &news)
 			}
 			if err != nil {
+				f.brokeAt.CompareAndSwap(0, int64(f.clock.Steady())+1)
 				select {
 				case broke <- struct{}{}:
 				default:
 				}
 				return
 			}
+			f.brokeAt.Store(0)
 			f.Take(news)
 			lock.Lock()
 			defer lock.Unlock()
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -37,6 +37,8 @@
 	now   func() time.Time
 	// fleetAt is when the fleet was last told.
 	fleetAt time.Time
+	// checkpoint is the last one made, while nothing has changed.
+	checkpoint *News
 }
 
 // NewHub makes a hub with an empty board.
@@ -73,6 +75,7 @@
 		fresh.Fleet = &change
 	}
 	fresh.Life, fresh.Place = h.life, h.place
+	fresh, h.checkpoint = fresh.pack(), nil
 	if h.kept = append(h.kept, fresh); len(h.kept) > keptNews {
 		h.kept = append([]News(nil), h.kept[len(h.kept)-keptNews/2:]...)
 	}
@@ -82,10 +85,28 @@
 			delete(h.names, number)
 		}
 	}
-	fresh.Fleet = whole
+	fresh.Fleet, fresh.packed = whole, nil
 	return fresh, true
 }
 
+// whole is the checkpoint of the hub's place. It is written once for all that ask
+// while nothing changes, as after a restart of everything.
+func (h *Hub) whole() News {
+	isLapsed := h.now().Sub(h.fleetAt) > GrantSpan
+	if h.checkpoint != nil && !(isLapsed && h.checkpoint.Fleet.HoldsGrants()) {
+		return *h.checkpoint
+	}
+	made := h.board.Checkpoint()
+	if isLapsed {
+		// Grants that lapsed here are no grants to a newcomer.
+		made.Fleet.Shares, made.Fleet.Stages, made.Fleet.Cutoffs, made.Fleet.Mirrors = nil, nil, nil, nil
+	}
+	made.Life, made.Place = h.life, h.place
+	made = made.pack()
+	h.checkpoint = &made
+	return made
+}
+
 // Read calls look with the board, which look must not change or keep.
 //
 // Example:
@@ -130,13 +151,7 @@
 			call.Reply(news)
 		}
 	} else {
-		checkpoint := h.board.Checkpoint()
-		if h.now().Sub(h.fleetAt) > GrantSpan {
-			// Grants that lapsed here are no grants to a newcomer.
-			checkpoint.Fleet.Shares, checkpoint.Fleet.Stages = nil, nil
-		}
-		checkpoint.Life, checkpoint.Place = h.life, h.place
-		call.Reply(checkpoint)
+		call.Reply(h.whole())
 	}
 	h.next++
 	number := h.next
--- a/internal/headway/track.go
+++ b/internal/headway/track.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// IsFree tells whether all that was let onto the track has passed; a wide link is
+// always free.
+//
+// Example:
+//
+//	if !out.IsFree() { waitWithCopies() }
+func (t *Track) IsFree() bool {
+	if t == nil || t.perByte == 0 {
+		return true
+	}
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.free <= t.clock.Steady()
+}
+
 // Burst counts bulk that is on its way already, and waits until it has passed.
 //
 // Example:
--- a/internal/hotbox/bench.go
+++ b/internal/hotbox/bench.go
@@ -11,7 +11,9 @@
 // aside.
 type stand struct {
 	seen, bad float64
-	at        timetable.Steady
+	// tried and strained are the tries that ended, and those turned away or late.
+	tried, strained float64
+	at              timetable.Steady
 	// paces and paced are the sum and the number of the paces; told is the pace
 	// last told, in eighths, and when.
 	paces, paced float64
@@ -51,6 +53,7 @@
 		weight := math.Exp2(-float64(now-s.at) / float64(fade))
 		s.seen, s.bad, s.at = s.seen*weight, s.bad*weight, now
 		s.paces, s.paced = s.paces*weight+float64(row.Paces), s.paced*weight+float64(row.Paced)
+		s.tried, s.strained = s.tried*weight+float64(row.Tried), s.strained*weight+float64(row.Strained)
 		s.seen += float64(row.Tally.Sum())
 		s.bad += float64(row.Tally[Failed] + row.Tally[Broken])
 	}
@@ -127,6 +130,33 @@
 	return s.told
 }
 
+// strainedPart is the part of its tries above which a server is strained, and
+// triedLeast how much it must have been tried for that.
+const (
+	strainedPart = 0.1
+	triedLeast   = 1
+)
+
+// Strained is the part of a group's servers, of those tried lately, that turned
+// inquiries away or were late with them.
+//
+// Example:
+//
+//	isWide := court.Strained(ids) >= 0.5
+func (c *Court) Strained(group []string) float64 {
+	tried, strained, now := 0, 0, c.clock.Steady()
+	for _, id := range group {
+		s := c.bench.stands[id]
+		if s == nil || s.tried*math.Exp2(-float64(now-s.at)/float64(fade)) < triedLeast {
+			continue
+		}
+		if tried++; s.strained > strainedPart*s.tried {
+			strained++
+		}
+	}
+	return float64(strained) / float64(max(1, tried))
+}
+
 // Keep forgets the servers that are no longer listed.
 //
 // Example:
--- a/internal/hotbox/box.go
+++ b/internal/hotbox/box.go
@@ -100,6 +100,10 @@
 	// over as many as Paced.
 	Paces float32 `cbor:"3,keyasint,omitempty"`
 	Paced uint32  `cbor:"4,keyasint,omitempty"`
+	// Tried is how many tries came to an end there, Strained how many of them the
+	// server turned away or was late with.
+	Tried    uint32 `cbor:"5,keyasint,omitempty"`
+	Strained uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // Report is one proxy's counts. Rows are whole since the trial began, so a
@@ -178,6 +182,25 @@
 	b.servers[server] = row
 }
 
+// NoteStrain counts a try at a server for the overload of its service.
+//
+// Example:
+//
+//	box.NoteStrain("i-7f3a91c2", isTurnedAway)
+func (b *Box) NoteStrain(server string, isStrained bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	row, isKnown := b.servers[server]
+	if !isKnown && len(b.servers) >= serverLimit {
+		return
+	}
+	row.ID = server
+	if row.Tried++; isStrained {
+		row.Strained++
+	}
+	b.servers[server] = row
+}
+
 // Report is what the holder is told now. The servers' counts begin anew.
 //
 // Example:
--- a/internal/hotbox/court.go
+++ b/internal/hotbox/court.go
@@ -127,6 +127,35 @@
 	return held != nil && time.Duration(c.clock.Steady()-held.at) <= span
 }
 
+// Proxies is how many proxies reported within the span.
+//
+// Example:
+//
+//	share := limit / court.Proxies(5*time.Second)
+func (c *Court) Proxies(span time.Duration) (count int) {
+	for node := range c.witnesses {
+		if c.IsFresh(node, span) {
+			count++
+		}
+	}
+	return count
+}
+
+// Lives is the sum over the proxies that reported within the span, each in its
+// present life, by the closure that makes a figure of one.
+//
+// Example:
+//
+//	lives := court.Lives(2500*time.Millisecond, loopline.LifeOf)
+func (c *Court) Lives(span time.Duration, figure func(node, life string) uint64) (sum uint64) {
+	for node, held := range c.witnesses {
+		if c.IsFresh(node, span) {
+			sum ^= figure(node, held.report.Life)
+		}
+	}
+	return sum
+}
+
 // Touch is what the proxies in touch say of one subject.
 type Touch struct {
 	// Proxies is how many there are; Behind, how many work by a reading of the
--- a/internal/inspector/command.go
+++ b/internal/inspector/command.go
@@ -51,6 +51,8 @@
 	c.confirm = moves.Flag("confirm", "Wait so long for the change to be made, and compare what moved with what was told.").Duration()
 	sites := group.Command("sites", "Tells the tree of sites, their capacity and load, and who is passed where. Example: ploverhitch inspector --control 10.1.0.42:8382 sites --without tvm-a")
 	c.without = sites.Flag("without", "Forecast where this site's callers would go, and whether they fit.").PlaceHolder("SITE").String()
+	group.Command("load", "Tells the order in which lanes are turned away under overload, what is turned away now and why, and the nodes by cutoff. Example: ploverhitch inspector --control 10.1.0.42:8382 load")
+	group.Command("mirror", "Tells what came of the copies that a mirror sends to its shadow, and what may be claimed of it. Example: ploverhitch inspector --control 10.1.0.42:8382 mirror")
 	return c
 }
 
@@ -60,7 +62,9 @@
 //
 //	os.Exit(commands.Run("inspector check"))
 func (c *Commands) Run(name string) int {
-	look := map[string]func(*Control) (int, error){"inspector check": c.check, "inspector moves": c.moves, "inspector sites": c.sites}[name]
+	look := map[string]func(*Control) (int, error){
+		"inspector check": c.check, "inspector moves": c.moves, "inspector sites": c.sites, "inspector load": c.load, "inspector mirror": c.mirror,
+	}[name]
 	if look == nil || *c.control == "" {
 		return c.unlooked(fmt.Errorf("--control is needed"))
 	}
--- /dev/null
+++ b/internal/inspector/load.go
@@ -0,0 +1,104 @@
+package inspector
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/signalbox"
+	"ploverhitch/internal/telegram"
+)
+
+// Load is the order of tiers, what is turned away, and the nodes by the number of
+// the cutoff that they work by.
+type Load struct {
+	signalbox.LoadPage
+	Nodes   map[string][]string `json:"Nodes"`
+	Unheard []string            `json:"Unheard"`
+}
+
+// Load asks the holder of the duty and every proxy.
+//
+// Example:
+//
+//	load, err := control.Load()
+func (c *Control) Load() (out Load, err error) {
+	if err = c.read("/v1/load", &out.LoadPage); err == nil && !out.IsHolder && out.Holder != "" {
+		err = c.readAt(out.Holder, "/v1/load", &out.LoadPage)
+	}
+	if err != nil {
+		return out, err
+	}
+	fleet, err := c.Fleet()
+	if err != nil {
+		return out, err
+	}
+	out.Nodes, out.Unheard = map[string][]string{}, append([]string{}, fleet.Unheard...)
+	for _, sight := range fleet.Edges {
+		name := cutoffName(sight)
+		out.Nodes[name] = append(out.Nodes[name], sight.Node)
+	}
+	for _, nodes := range out.Nodes {
+		slices.Sort(nodes)
+	}
+	return out, nil
+}
+
+func cutoffName(sight telegram.Sight) string {
+	switch {
+	case sight.IsFloor && sight.Cutoff > 0:
+		return "own floor"
+	case sight.Cutoff == 0:
+		return "none"
+	}
+	return strconv.FormatUint(sight.Cutoff, 10)
+}
+
+// shedOf tells what the cutoffs turn away of a tier.
+func shedOf(tier loadgauge.Tier, cutoffs []loadgauge.Cutoff) string {
+	var out []string
+	for _, cutoff := range cutoffs {
+		switch {
+		case tier > cutoff.Tier:
+			out = append(out, cutoff.Service+" all")
+		case tier == cutoff.Tier && cutoff.Part > 0:
+			out = append(out, fmt.Sprintf("%s %.0f%%", cutoff.Service, 100*cutoff.Part))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func (c *Commands) load(control *Control) (int, error) {
+	load, err := control.Load()
+	if err != nil {
+		return Unlooked, err
+	}
+	rows := [][]string{{"TIER", "PLAN", "PRIORITY", "KIND", "LANES", "TURNED AWAY"}}
+	for _, rung := range load.Order {
+		rows = append(rows, []string{
+			strconv.Itoa(int(rung.Tier)), rung.Plan, strconv.Itoa(rung.Priority), rung.Kind, strings.Join(rung.Lanes, ","), shedOf(rung.Tier, load.Cutoffs),
+		})
+	}
+	rows = append(rows, nil, []string{"SERVICE", "TIER", "OFFERED", "TURNED AWAY", "SENT", "FULL", "LATE"})
+	for _, a := range load.Accounts {
+		row := []string{a.Service, strconv.Itoa(int(a.Tier))}
+		for _, count := range []uint32{a.Offered, a.Shed, a.Sent, a.Turned, a.Late} {
+			row = append(row, strconv.FormatUint(uint64(count), 10))
+		}
+		rows = append(rows, row)
+	}
+	rows = append(rows, nil, []string{"CUTOFF", "NODES"})
+	for _, number := range sortedKeys(load.Nodes) {
+		rows = append(rows, []string{number, strings.Join(load.Nodes[number], ",")})
+	}
+	c.print(load, rows)
+	switch {
+	case len(load.Unheard) > 0:
+		return Unlooked, fmt.Errorf("no answer from %s", strings.Join(load.Unheard, ", "))
+	case len(load.Cutoffs) > 0:
+		return Found, nil
+	}
+	return Clean, nil
+}
--- /dev/null
+++ b/internal/inspector/mirror_test.go
@@ -0,0 +1,91 @@
+package inspector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/inspector"
+	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/telegram"
+)
+
+var _ = Describe("the sum of what nodes know of a mirror", func() {
+	// converse lets learners talk to nodes by turns; isChosen says whether a node
+	// copies one part of a conversation.
+	converse := func(isChosen func(node int, draw float64) bool) (grant *loopline.Grant, nodes []telegram.Mirrored, parts map[uint64]int) {
+		m := loopline.Mirror{Name: "m", Shadow: "next"}
+		grant = &loopline.Grant{Name: "m", Version: 1, Share: 0.5, Era: 1, IsSettled: true}
+		records := make([]*loopline.Record, 4)
+		for node := range records {
+			grant.Lives ^= loopline.LifeOf(fmt.Sprint("n", node), "a")
+		}
+		for node := range records {
+			records[node] = loopline.NewRecord()
+			records[node].Under(*grant)
+		}
+		random, parts := rand.New(rand.NewPCG(1, 1)), map[uint64]int{}
+		for learner := range uint64(200) {
+			draw := m.Draw("h", fmt.Sprint(learner))
+			for range 4 {
+				node := random.IntN(4)
+				if isChosen(node, draw) {
+					parts[learner]++
+					_, era := records[node].Meet(learner, draw)
+					records[node].Compare(learner, era, loopline.Example{Lane: "l", Outcome: loopline.Same})
+				}
+			}
+		}
+		for node, record := range records {
+			nodes = append(nodes, telegram.Mirrored{Node: fmt.Sprint("n", node), Life: "a", Pages: map[string]loopline.Page{"m": record.Page()}})
+		}
+		return grant, nodes, parts
+	}
+	byHash := func(_ int, draw float64) bool { return draw < 0.5 }
+
+	It("claims parity over whole conversations that all nodes chose alike", func() {
+		grant, nodes, parts := converse(byHash)
+		sum := inspector.Sum("m", grant, nodes)
+		Expect(sum.Whole).To(Equal(len(parts)))
+		Expect(sum.Claim).To(HavePrefix("no difference in "))
+		for learner, count := range parts {
+			Expect(count).To(Equal(4), "learner %d", learner)
+		}
+	})
+
+	It("gets torn conversations from a choice by lot at each node: the check can fail", func() {
+		random := rand.New(rand.NewPCG(2, 2))
+		_, _, parts := converse(func(int, float64) bool { return random.Float64() < 0.5 })
+		torn := 0
+		for _, count := range parts {
+			if count < 4 {
+				torn++
+			}
+		}
+		Expect(torn).To(BeNumerically(">", 100))
+	})
+
+	It("claims nothing while a node has not answered, lives anew, is of another era, or lacks the order", func() {
+		grant, nodes, _ := converse(byHash)
+		Expect(inspector.Sum("m", grant, nodes[1:]).Claim).To(HavePrefix("nothing"))
+		anew := append([]telegram.Mirrored{}, nodes...)
+		anew[0].Life = "b"
+		Expect(inspector.Sum("m", grant, anew).Whole).To(BeZero())
+		other := *grant
+		other.Era = 2
+		Expect(inspector.Sum("m", &other, nodes).Whole).To(BeZero())
+		other = *grant
+		other.IsSettled = false
+		Expect(inspector.Sum("m", &other, nodes).Claim).To(HavePrefix("nothing"))
+		Expect(inspector.Sum("m", nil, nodes).Claim).To(HavePrefix("nothing"))
+	})
+
+	It("takes conversations out that a lowered share no longer copies", func() {
+		grant, nodes, _ := converse(byHash)
+		lowered := *grant
+		lowered.Share = 0.25
+		Expect(inspector.Sum("m", &lowered, nodes).Whole).To(BeNumerically("<", inspector.Sum("m", grant, nodes).Whole*2/3))
+	})
+})
--- a/internal/inspector/sites.go
+++ b/internal/inspector/sites.go
@@ -22,13 +22,17 @@
 	if err = c.read("/v1/sites", &page); err != nil || page.IsHolder || page.Holder == "" {
 		return page, err
 	}
+	return page, c.readAt(page.Holder, "/v1/sites", &page)
+}
+
+// readAt reads a page of another core node; on all machines the ports are alike.
+func (c *Control) readAt(member, path string, out any) error {
 	_, port, err := net.SplitHostPort(c.Address)
 	if err != nil {
-		return page, errors.Annotate(err, "control address")
+		return errors.Annotate(err, "control address")
 	}
-	// On all machines the ports are alike.
-	host, _, _ := net.SplitHostPort(page.Holder)
-	return page, NewControl(net.JoinHostPort(host, port)).read("/v1/sites", &page)
+	host, _, _ := net.SplitHostPort(member)
+	return NewControl(net.JoinHostPort(host, port)).read(path, out)
 }
 
 // Passage is where a part of a lost site's callers would go.
--- a/internal/ledger/round.go
+++ b/internal/ledger/round.go
@@ -14,6 +14,7 @@
 	InWork
 	Limited
 	NoMajority
+	TurnedAway
 )
 
 // Round gathers the votes of one attempt. What it comes to depends only on the
@@ -25,6 +26,7 @@
 	span    timetable.Steady
 
 	granted, held, over, lost int
+	shed                      int
 	terminal                  *Intent
 	other                     *Intent
 }
@@ -52,6 +54,8 @@
 		r.granted++
 	case ballot.Verdict == OverLimit:
 		r.over++
+	case ballot.Verdict == Shed:
+		r.shed++
 	case ballot.Verdict == Held && ballot.Held != nil:
 		r.held++
 		r.other = ballot.Held
@@ -78,7 +82,7 @@
 		return Replayable
 	case r.granted >= majority && isInTime:
 		return Won
-	case r.members-r.held-r.over-r.lost >= majority && isInTime && r.granted+r.held+r.over+r.lost < r.members:
+	case r.members-r.held-r.over-r.lost-r.shed >= majority && isInTime && r.granted+r.held+r.over+r.lost+r.shed < r.members:
 		return Undecided
 	case r.held > 0 && r.other.Hash != r.Hash:
 		return Conflicting
@@ -86,6 +90,8 @@
 		return InWork
 	case r.over > 0:
 		return Limited
+	case r.shed > 0 && r.shed >= r.lost:
+		return TurnedAway
 	}
 	return NoMajority
 }
--- a/internal/ledger/voter.go
+++ b/internal/ledger/voter.go
@@ -15,6 +15,8 @@
 	Held
 	OverLimit
 	Refused
+	// Shed: the service is overloaded, and no intent is created for this key now.
+	Shed
 )
 
 // Ballot is a voter's reply: its verdict, and the intent that holds the key if
--- /dev/null
+++ b/internal/loadgauge/loadgauge_test.go
@@ -0,0 +1,236 @@
+package loadgauge_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/timetable"
+)
+
+func TestLoadgauge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loadgauge")
+}
+
+var _ = Describe("the order of tiers", func() {
+	It("goes by priority, and among equals keeps keyed lanes, then reads, then bulk", func() {
+		order := loadgauge.Arrange(loadgauge.Plan{}, lanes)
+		var names []string
+		for _, rung := range order.Rungs() {
+			names = append(names, rung.Lanes...)
+		}
+		Expect(names).To(Equal([]string{"release", "urgent", "page", "pack"}))
+	})
+
+	It("is the same however the lanes are listed", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		plan := loadgauge.Plan{Name: "p", Tiers: []loadgauge.PlanTier{{Name: "gold", Order: 1, Hosts: []string{"B"}}, {Name: "rest", Order: 2, Hosts: []string{"a"}}}}
+		var all []loadgauge.Lane
+		for number := range 30 {
+			all = append(all, loadgauge.Lane{Name: fmt.Sprint("l", number), Host: []string{"a", "b", "c"}[number%3], Priority: number % 4, Kind: loadgauge.Kind(number % 4)})
+		}
+		want := loadgauge.Arrange(plan, all).Rungs()
+		for range 20 {
+			random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			Expect(loadgauge.Arrange(plan, all).Rungs()).To(Equal(want))
+		}
+		Expect(want[0].Plan).To(Equal("gold"))
+	})
+
+	It("puts no keyed lane after a bulk one, whatever has become of the lanes", func() {
+		plan := loadgauge.Plan{Name: "p", Tiers: []loadgauge.PlanTier{{Name: "gold", Order: 1, Hosts: []string{"a"}}}}
+		order := loadgauge.Arrange(plan, []loadgauge.Lane{{Name: "pack", Host: "a", Kind: loadgauge.Bulk}, {Name: "fee", Host: "z", Kind: loadgauge.Keyed}})
+		Expect(order.TierOf("fee")).To(BeNumerically("<", order.TierOf("pack")))
+	})
+
+	DescribeTable("a plan that is wrong is refused by name",
+		func(plan loadgauge.Plan, reason string) {
+			plan.Name = "p"
+			Expect(plan.Check(append(lanes, loadgauge.Lane{Name: "far", Host: "z", Kind: loadgauge.Bulk}))).To(MatchError(ContainSubstring(reason)))
+		},
+		Entry("no tiers", loadgauge.Plan{}, "Tiers"),
+		Entry("an unknown host", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Hosts: []string{"q"}}}}, "host q"),
+		Entry("an unknown lane", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Lanes: []string{"q"}}}}, "lane q"),
+		Entry("a lane in two tiers", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Lanes: []string{"page"}}, {Name: "b", Order: 2, Lanes: []string{"page"}}}}, "lane page"),
+		Entry("one order twice", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1}, {Name: "b", Order: 1}}}, "tiers a and b"),
+		Entry("a gap", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1}, {Name: "b", Order: 3}}}, "tier of order 2"),
+		Entry("a keyed lane after a bulk one", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Hosts: []string{"z"}}}}, "keyed lane release"),
+	)
+})
+
+var _ = Describe("a cutoff", func() {
+	It("only adds when it is raised and only lets in when it is lowered", func() {
+		const tiers = 4
+		low := loadgauge.Cutoff{Seed: 7, Tier: 3, Part: 0.4}
+		for _, high := range []loadgauge.Cutoff{{Seed: 7, Tier: 3, Part: 0.9}, {Seed: 7, Tier: 2, Part: 0.1}} {
+			Expect(high.Height(tiers)).To(BeNumerically(">", low.Height(tiers)))
+			shed := 0
+			for number := range 4000 {
+				tier, name := loadgauge.Tier(number%tiers), fmt.Sprint("k", number)
+				if low.Sheds(tier, "h", name) {
+					shed++
+					Expect(high.Sheds(tier, "h", name)).To(BeTrue())
+				}
+			}
+			Expect(shed).To(BeNumerically("~", 400, 60))
+		}
+	})
+})
+
+// overload runs a world at the load for some seconds.
+func (w *world) run(load float64, span time.Duration) {
+	for end := w.hand.Now + span; w.hand.Now < end; {
+		w.step(load)
+	}
+}
+
+// disagreements counts, over many names, those on which nodes that work by one
+// cutoff differ.
+func (w *world) disagreements() (count int) {
+	for number := range 600 {
+		said, lane := map[uint64]bool{}, lanes[1+number%3].Name
+		for _, n := range w.nodes {
+			of := uint64(0)
+			for _, cutoff := range n.cutoffs {
+				of = cutoff.Number
+			}
+			isShed := w.verdict(n, lane, fmt.Sprint("name", number))
+			if before, isKnown := said[of]; isKnown && before != isShed {
+				count++
+				break
+			}
+			said[of] = isShed
+		}
+	}
+	return count
+}
+
+var _ = Describe("an overload of the whole cluster", func() {
+	// rush is 2.5 times the capacity, with something that goes wrong in the middle.
+	rush := func(seed uint64, middle func(*world)) *world {
+		w := newWorld(seed, 12)
+		w.run(0.7, 4*time.Second)
+		w.run(2.5, 4*time.Second)
+		middle(w)
+		for range 12 {
+			w.run(2.5, time.Second)
+			if !w.isCut {
+				Expect(w.disagreements()).To(BeZero(), "seed %d", seed)
+			}
+		}
+		for key, runs := range w.ran {
+			Expect(runs).To(Equal(1), "seed %d: %s", seed, key)
+		}
+		return w
+	}
+	middles := map[string]func(*world){
+		"nothing more": func(*world) {},
+		"the holder is lost": func(w *world) {
+			w.holder = loadgauge.NewGauge(w.hand, w.random.Uint64)
+			w.holder.Hold(w.heard(0))
+		},
+		"the holder is lost with all that it told": func(w *world) { w.holder = loadgauge.NewGauge(w.hand, w.random.Uint64) },
+		"the core is cut off for a while": func(w *world) {
+			w.isCut = true
+			w.run(2.5, 5*time.Second)
+			w.isCut = false
+		},
+		"half of the nodes start anew": func(w *world) {
+			for number := range len(w.nodes) / 2 {
+				w.nodes[number] = w.newNode()
+			}
+		},
+		"news come late": func(w *world) {
+			for _, n := range w.nodes {
+				n.delay += 10 * tick
+			}
+		},
+	}
+	for name, middle := range middles {
+		It("refuses the last tiers, runs each key once, and keeps the first ones in time, though "+name, func() {
+			for seed := range uint64(4) {
+				w := rush(seed, middle)
+				for _, c := range w.counts {
+					*c = count{}
+				}
+				w.run(2.5, 10*time.Second)
+				share := func(lane string) float64 { return float64(w.counts[lane].served) / float64(w.counts[lane].asked) }
+				Expect(share("release")).To(BeNumerically(">", 0.97), "seed %d", seed)
+				Expect(share("urgent")).To(BeNumerically(">", 0.9), "seed %d", seed)
+				Expect(share("pack")).To(BeNumerically("<", 0.3), "seed %d", seed)
+				urgent := w.counts["urgent"]
+				Expect(float64(urgent.late)/float64(urgent.served)).To(BeNumerically("<", 0.15), "seed %d", seed)
+			}
+		})
+	}
+
+	It("is over without a to and fro", func() {
+		for seed := range uint64(6) {
+			w := rush(seed, func(*world) {})
+			w.run(0.7, 3*time.Second)
+			raises, last := 0, 4.0
+			for range 400 {
+				w.run(0.7, tick)
+				height := 0.0
+				for _, cutoff := range w.holder.Cutoffs() {
+					height = cutoff.Height(4)
+				}
+				if height > last+1e-9 {
+					raises++
+				}
+				last = height
+			}
+			Expect(raises).To(BeNumerically("<=", 1), "seed %d", seed)
+			Expect(w.holder.Cutoffs()).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
+	It("leaves nodes that each measure alone at odds: the check can fail", func() {
+		w := newWorld(1, 12)
+		w.isAlone = true
+		w.run(0.7, 4*time.Second)
+		w.run(2.5, 6*time.Second)
+		Expect(w.disagreements()).To(BeNumerically(">", 10))
+	})
+})
+
+var _ = Describe("what is no overload of the whole cluster", func() {
+	It("is one sick server, or one node in trouble", func() {
+		w := newWorld(3, 12)
+		w.servers[0].isIll = true
+		w.run(0.7, 10*time.Second)
+		Expect(w.holder.Cutoffs()).To(BeEmpty())
+		gauge := loadgauge.NewGauge(w.hand, w.random.Uint64)
+		for range 20 {
+			w.hand.Now += 250 * time.Millisecond
+			for number := range 10 {
+				load := loadgauge.Load{Service: "s", Offered: 20, Sent: 20}
+				if number == 0 {
+					load.Turned = 20
+				}
+				gauge.Hear(fmt.Sprint(number), []loadgauge.Load{load})
+			}
+			Expect(gauge.Decide(func(string) float64 { return 1 })).To(BeFalse())
+		}
+	})
+
+	It("never goes back to an older number when the holder changes", func() {
+		hand := &timetable.Hand{Now: time.Hour}
+		gauge := loadgauge.NewGauge(hand, func() uint64 { return 5 })
+		gauge.Hold([]loadgauge.Cutoff{{Service: "s", Number: 41, Seed: 9, Tier: 1, Part: 0.5}})
+		for range 40 {
+			hand.Now += 250 * time.Millisecond
+			gauge.Hear("a", []loadgauge.Load{{Service: "s", Tier: 1, Offered: 100, Sent: 60, Turned: 40}})
+			gauge.Decide(func(string) float64 { return 1 })
+		}
+		Expect(gauge.Cutoffs()).To(HaveLen(1))
+		Expect(gauge.Cutoffs()[0].Number).To(BeNumerically(">", 41))
+		Expect(gauge.Cutoffs()[0].Seed).To(BeEquivalentTo(9))
+	})
+})
--- /dev/null
+++ b/internal/loadgauge/plan.go
@@ -0,0 +1,116 @@
+package loadgauge
+
+import (
+	"slices"
+	"strconv"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"github.com/juju/errors"
+)
+
+// PlanTier is one of the operator's plan tiers: tenants by their hosts, or single
+// lanes. Order 1 is turned away last.
+type PlanTier struct {
+	Name  string   `json:"Name"`
+	Order int      `json:"Order"`
+	Hosts []string `json:"Hosts,omitempty"`
+	Lanes []string `json:"Lanes,omitempty"`
+}
+
+// Plan is the operator's tiers. A lane counts for the tier that names it, or else
+// for the one that names its host; lanes that no tier names come after all tiers.
+type Plan struct {
+	Name  string     `json:"Name"`
+	Tiers []PlanTier `json:"Tiers"`
+	// Conversation names the header that tells one client from another; without
+	// it, or where a client does not send it, its address does.
+	Conversation string `json:"Conversation,omitempty"`
+}
+
+// Check looks at the plan by itself and against the lanes there are. The error
+// names what is wrong.
+//
+// Example:
+//
+//	err := plan.Check(lanes)
+func (p Plan) Check(lanes []Lane) error {
+	err := validation.ValidateStruct(&p, validation.Field(&p.Name, validation.Required), validation.Field(&p.Tiers, validation.Required))
+	if err != nil {
+		return errors.Annotatef(err, "plan %s", p.Name)
+	}
+	orders, names, taken := map[int]string{}, map[string]bool{}, map[string]string{}
+	take := func(what, tier string) error {
+		if other, isTaken := taken[what]; isTaken {
+			return errors.NotValidf("plan %s: %s, which is in tier %s and in tier %s,", p.Name, what, other, tier)
+		}
+		taken[what] = tier
+		return nil
+	}
+	for _, tier := range p.Tiers {
+		switch other, isTwice := orders[tier.Order]; {
+		case tier.Name == "" || names[tier.Name]:
+			return errors.NotValidf("plan %s: tier %q, which has no name or another's,", p.Name, tier.Name)
+		case isTwice:
+			return errors.NotValidf("plan %s: order %d, which tiers %s and %s share,", p.Name, tier.Order, other, tier.Name)
+		}
+		names[tier.Name], orders[tier.Order] = true, tier.Name
+		for _, host := range tier.Hosts {
+			if !slices.ContainsFunc(lanes, func(lane Lane) bool { return isHost(lane.Host, host) }) {
+				return errors.NotFoundf("plan %s: host %s of tier %s", p.Name, host, tier.Name)
+			}
+			if err := take("host "+host, tier.Name); err != nil {
+				return err
+			}
+		}
+		for _, name := range tier.Lanes {
+			if !slices.ContainsFunc(lanes, func(lane Lane) bool { return lane.Name == name }) {
+				return errors.NotFoundf("plan %s: lane %s of tier %s", p.Name, name, tier.Name)
+			}
+			if err := take("lane "+name, tier.Name); err != nil {
+				return err
+			}
+		}
+	}
+	for order := 1; order <= len(p.Tiers); order++ {
+		if orders[order] == "" {
+			return errors.NotValidf("plan %s: order of %d tiers without a tier of order %s,", p.Name, len(p.Tiers), strconv.Itoa(order))
+		}
+	}
+	return p.checkKeyed(lanes)
+}
+
+// checkKeyed refuses a keyed lane in a tier below that of a bulk one.
+func (p Plan) checkKeyed(lanes []Lane) error {
+	for _, keyed := range lanes {
+		for _, bulk := range lanes {
+			if keyed.Kind == Keyed && bulk.Kind == Bulk && p.orderOf(keyed) > p.orderOf(bulk) {
+				return errors.NotValidf("plan %s: keyed lane %s, which comes after the bulk lane %s,", p.Name, keyed.Name, bulk.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// orderOf is the place of a lane's tier in the plan, from 1.
+func (p Plan) orderOf(lane Lane) int {
+	for _, tier := range p.Tiers {
+		if slices.Contains(tier.Lanes, lane.Name) {
+			return tier.Order
+		}
+	}
+	for _, tier := range p.Tiers {
+		if slices.ContainsFunc(tier.Hosts, func(host string) bool { return isHost(host, lane.Host) }) {
+			return tier.Order
+		}
+	}
+	return len(p.Tiers) + 1
+}
+
+func (p Plan) nameOf(order int) string {
+	for _, tier := range p.Tiers {
+		if tier.Order == order {
+			return tier.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/loopline/loopline_test.go
@@ -0,0 +1,167 @@
+package loopline_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/loopline"
+)
+
+func TestLoopline(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loopline")
+}
+
+var (
+	now   = time.Unix(1_000_000, 0)
+	lanes = []loopline.Lane{{Name: "fee", Host: "h", Services: []string{"fees"}}, {Name: "read", Host: "h", Services: []string{"lessons"}}}
+)
+
+func mirror(name string, more func(*loopline.Mirror)) loopline.Mirror {
+	m := loopline.Mirror{Name: name, Lanes: []string{"fee"}, Shadow: "next", Share: 0.5, Until: now.Add(time.Hour)}
+	if more != nil {
+		more(&m)
+	}
+	return m
+}
+
+func isService(name string) bool { return name == "fees" || name == "lessons" || name == "next" }
+
+var _ = Describe("an order to copy", func() {
+	DescribeTable("is refused by name where it is wrong",
+		func(reason string, mirrors ...loopline.Mirror) {
+			var err error
+			for _, m := range mirrors {
+				for _, check := range []func() error{m.Check, func() error { return m.CheckNamed(lanes) }} {
+					if found := check(); found != nil {
+						err = found
+					}
+				}
+			}
+			if err == nil {
+				err = loopline.CheckAll(mirrors, lanes, isService, now)
+			}
+			Expect(err).To(MatchError(ContainSubstring(reason)))
+		},
+		Entry("a share over one", "Share", mirror("m", func(m *loopline.Mirror) { m.Share = 1.5 })),
+		Entry("a share under none", "Share", mirror("m", func(m *loopline.Mirror) { m.Share = -0.1 })),
+		Entry("no end", "Until", mirror("m", func(m *loopline.Mirror) { m.Until = time.Time{} })),
+		Entry("nothing to copy from", "Lanes", mirror("m", func(m *loopline.Mirror) { m.Lanes = nil })),
+		Entry("two names of the conversation", "Cookie", mirror("m", func(m *loopline.Mirror) { m.Header, m.Cookie = "a", "b" })),
+		Entry("an unknown lane", "lane q", mirror("m", func(m *loopline.Mirror) { m.Lanes = []string{"q"} })),
+		Entry("an unknown host", "host q", mirror("m", func(m *loopline.Mirror) { m.Hosts = []string{"q"} })),
+		Entry("an unknown service", "service gone", mirror("m", func(m *loopline.Mirror) { m.Shadow = "gone" })),
+		Entry("a shadow that is live", "lane read delivers", mirror("m", func(m *loopline.Mirror) { m.Shadow = "lessons" })),
+		Entry("the source as its own shadow", "lane fee delivers", mirror("m", func(m *loopline.Mirror) { m.Shadow = "fees" })),
+		Entry("two of one lane", "mirror a", mirror("a", nil), mirror("b", func(m *loopline.Mirror) { m.Lanes, m.Hosts = nil, []string{"H"} })),
+	)
+
+	It("stands against nothing once it has ended", func() {
+		Expect(loopline.CheckAll([]loopline.Mirror{mirror("m", func(m *loopline.Mirror) { m.Shadow = "fees" })}, lanes, isService, now.Add(2*time.Hour))).To(Succeed())
+	})
+
+	It("names the conversation by header or cookie, then by key, then by address", func() {
+		m := mirror("m", func(m *loopline.Mirror) { m.Cookie = "sid" })
+		header := http.Header{"Cookie": {"a=b; sid=7"}}
+		Expect(m.Conversation(header, "k", "1.2.3.4")).To(Equal("cookie 7"))
+		Expect(m.Conversation(http.Header{}, "k", "1.2.3.4")).To(Equal("key k"))
+		Expect(m.Conversation(http.Header{}, "", "1.2.3.4")).To(Equal("address 1.2.3.4"))
+		m.Cookie, m.Header = "", "X-Who"
+		Expect(m.Conversation(http.Header{"X-Who": {"me"}}, "k", "")).To(Equal("header me"))
+	})
+
+	It("adds and takes whole conversations, the same ones at every node", func() {
+		m := mirror("m", nil)
+		low, high := 0, 0
+		for number := range 2000 {
+			draw := m.Draw("h", fmt.Sprint("c", number))
+			Expect(mirror("m", func(m *loopline.Mirror) { m.Share = 0.9 }).Draw("h", fmt.Sprint("c", number))).To(Equal(draw))
+			if draw < 0.2 {
+				low++
+			}
+			if draw < 0.5 {
+				high++
+			}
+		}
+		Expect(low).To(BeNumerically("~", 400, 60))
+		Expect(high).To(BeNumerically("~", 1000, 80))
+	})
+})
+
+var _ = Describe("the record of a node", func() {
+	It("calls no conversation whole of which anything is missing, as a plain list of all that happened tells", func() {
+		for seed := range uint64(60) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			record, era := loopline.NewRecord(), uint64(1)
+			record.Under(loopline.Grant{Name: "m", Version: 1, Share: 1, Era: era})
+			// broken are the conversations of this era that lack something; open
+			// are the copies on their way.
+			broken, met := map[uint64]bool{}, map[uint64]bool{}
+			type copied struct{ hash, era uint64 }
+			var open []copied
+			isSettled := false
+			for range 400 {
+				switch random.IntN(10) {
+				case 0:
+					if random.IntN(4) == 0 {
+						era++
+						isSettled, broken, met = false, map[uint64]bool{}, map[uint64]bool{}
+					} else {
+						isSettled = true
+					}
+					record.Under(loopline.Grant{Name: "m", Version: 1, Share: 1, Era: era, IsSettled: isSettled})
+				case 1, 2, 3, 4, 5:
+					hash := random.Uint64N(20)
+					_, of := record.Meet(hash, 0)
+					if met[hash] = true; !isSettled {
+						broken[hash] = true
+					}
+					open = append(open, copied{hash, of})
+				default:
+					if len(open) == 0 {
+						continue
+					}
+					at := random.IntN(len(open))
+					one := open[at]
+					open = append(open[:at], open[at+1:]...)
+					if random.IntN(5) > 0 {
+						record.Compare(one.hash, one.era, loopline.Example{Lane: "l", Outcome: loopline.Same})
+						continue
+					}
+					record.Miss(one.hash, one.era, "lost")
+					if one.era == era {
+						broken[one.hash] = true
+					}
+				}
+			}
+			waiting := map[uint64]bool{}
+			for _, one := range open {
+				if one.era == era {
+					waiting[one.hash] = true
+				}
+			}
+			page := record.Page()
+			Expect(page.Talks).To(HaveLen(len(met)))
+			for _, talk := range page.Talks {
+				Expect(talk.IsWhole()).To(Equal(!broken[talk.Hash] && !waiting[talk.Hash]), "seed %d", seed)
+			}
+		}
+	})
+
+	It("tells each loss once, and begins anew with a new version", func() {
+		record := loopline.NewRecord()
+		record.Under(loopline.Grant{Version: 1, Era: 1, IsSettled: true})
+		_, era := record.Meet(1, 0)
+		record.Miss(1, era, "lost")
+		Expect(record.Tell("m")).To(Equal(loopline.Tally{Name: "m", Lost: 1}))
+		Expect(record.Tell("m")).To(Equal(loopline.Tally{Name: "m"}))
+		record.Under(loopline.Grant{Version: 2, Era: 1, IsSettled: true})
+		Expect(record.Page().Talks).To(BeEmpty())
+	})
+})
--- a/internal/manifest/item.go
+++ b/internal/manifest/item.go
@@ -52,6 +52,10 @@
 	// SiteItem is a site of the hierarchy, which the protocol's own calls do
 	// not know of.
 	SiteItem
+	// PlanItem is the operator's plan tiers, MirrorItem an order to copy
+	// conversations to a shadow; the protocol's calls do not know of them either.
+	PlanItem
+	MirrorItem
 )
 
 // ID names one item among all.
--- /dev/null
+++ b/internal/manifest/own.go
@@ -0,0 +1,185 @@
+package manifest
+
+import (
+	"encoding/json"
+	"time"
+
+	"ploverhitch/internal/branchline"
+	"ploverhitch/internal/derail"
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/loopline"
+)
+
+// ownItems are the kinds of items of the project's own, apart from the protocol's
+// calls: the word for one, and how it is checked by itself.
+var ownItems = map[Class]struct {
+	word  string
+	check func(body json.RawMessage) error
+}{
+	SiteItem: {"site", func(body json.RawMessage) error { return json.Unmarshal(body, &branchline.Site{}) }},
+	PlanItem: {"plan", func(body json.RawMessage) error { return json.Unmarshal(body, &loadgauge.Plan{}) }},
+	MirrorItem: {"mirror", func(body json.RawMessage) error {
+		var mirror loopline.Mirror
+		if err := json.Unmarshal(body, &mirror); err != nil {
+			return err
+		}
+		return mirror.Check()
+	}},
+}
+
+// Parser reads an operator's call that sets and removes items of a class of the
+// project's own.
+//
+// Example:
+//
+//	items, err := manifest.Parser(manifest.SiteItem)(body)
+func Parser(class Class) func(text []byte) ([]Item, error) {
+	own := ownItems[class]
+	return func(text []byte) (items []Item, err error) {
+		var call struct {
+			Upsert []json.RawMessage `json:"Upsert"`
+			Remove []mark            `json:"Remove"`
+		}
+		if err := json.Unmarshal(text, &call); err != nil {
+			return nil, bad("the call cannot be read", err)
+		}
+		for _, body := range call.Upsert {
+			var head mark
+			if err := json.Unmarshal(body, &head); err != nil {
+				return nil, bad(own.word+" "+head.Name, err)
+			}
+			if head.Name == "" || head.Revision == 0 {
+				return nil, derail.New(derail.BadManifest, "a "+own.word+" lacks its name or version")
+			}
+			if err := own.check(body); err != nil {
+				return nil, bad(own.word+" "+head.Name, err)
+			}
+			items = append(items, Item{ID: ID{class, head.Name}, Version: head.Revision, Body: body})
+		}
+		for _, m := range call.Remove {
+			if m.Name == "" || m.Revision == 0 {
+				return nil, derail.New(derail.BadManifest, "a removal lacks its name or version")
+			}
+			items = append(items, Item{ID: ID{class, m.Name}, Version: m.Revision, Dropped: true})
+		}
+		return items, nil
+	}
+}
+
+// own reads the book's items of one class; what cannot be read was never kept.
+func own[T any](b Book, class Class) (out []T, versions []Version) {
+	for _, item := range b.Items() {
+		var one T
+		if item.ID.Class == class && !item.Dropped && json.Unmarshal(item.Body, &one) == nil {
+			out, versions = append(out, one), append(versions, item.Version)
+		}
+	}
+	return out, versions
+}
+
+// Tree lays the site tree of the book over the platform's cells.
+//
+// Example:
+//
+//	tree, err := book.Tree(map[string]string{"tvm-a": "tvm"})
+func (b Book) Tree(cells map[string]string) (*branchline.Tree, error) {
+	sites, _ := own[branchline.Site](b, SiteItem)
+	return branchline.Build(cells, sites)
+}
+
+// Plan is the operator's plan tiers, or the empty plan.
+//
+// Example:
+//
+//	order := loadgauge.Arrange(book.Plan(), lanes)
+func (b Book) Plan() (plan loadgauge.Plan) {
+	if plans, _ := own[loadgauge.Plan](b, PlanItem); len(plans) > 0 {
+		plan = plans[0]
+	}
+	return plan
+}
+
+// gaugeKinds is the table from a lane's type to its kind in the order of tiers.
+var gaugeKinds = map[LaneKind]loadgauge.Kind{
+	Idempotent: loadgauge.Keyed, Unsafe: loadgauge.Once, Safe: loadgauge.Read, Download: loadgauge.Bulk,
+}
+
+func (b Book) gaugeLanes() (out []loadgauge.Lane) {
+	b.eachLane(func(lane LaneSpec, host string) {
+		out = append(out, loadgauge.Lane{Name: lane.Name, Host: host, Priority: lane.Priority, Kind: gaugeKinds[lane.LaneType]})
+	})
+	return out
+}
+
+func (b Book) mirrorLanes() (out []loopline.Lane) {
+	b.eachLane(func(lane LaneSpec, host string) {
+		out = append(out, loopline.Lane{Name: lane.Name, Host: host, Services: lane.Services()})
+	})
+	return out
+}
+
+func (b Book) eachLane(visit func(lane LaneSpec, host string)) {
+	for _, item := range b.Items() {
+		var lane LaneSpec
+		if item.ID.Class == LaneItem && !item.Dropped && json.Unmarshal(item.Body, &lane) == nil {
+			visit(lane, item.Host)
+		}
+	}
+}
+
+// Mirrors are the orders to copy, with their versions.
+//
+// Example:
+//
+//	mirrors, versions := book.Mirrors()
+func (b Book) Mirrors() ([]loopline.Mirror, []Version) { return own[loopline.Mirror](b, MirrorItem) }
+
+// CheckOwn holds a changed book's own items against its lanes and services: the
+// mirrors always, as no lane may come to deliver to a shadow; plans and names of
+// lanes where the change brings them.
+//
+// Example:
+//
+//	err := whole.CheckOwn(newer, time.Now())
+func (b Book) CheckOwn(newer []Item, now time.Time) error {
+	isService := func(name string) bool {
+		item, isThere := b[ID{ServiceItem, name}]
+		return isThere && !item.Dropped
+	}
+	mirrors, _ := b.Mirrors()
+	var lanes []loopline.Lane
+	if len(mirrors) > 0 {
+		lanes = b.mirrorLanes()
+		if err := loopline.CheckAll(mirrors, lanes, isService, now); err != nil {
+			return derail.New(derail.BadManifest, err.Error())
+		}
+	}
+	for _, item := range newer {
+		var err error
+		switch {
+		case item.Dropped:
+		case item.ID.Class == PlanItem:
+			err = b.checkPlan(item)
+		case item.ID.Class == MirrorItem:
+			var mirror loopline.Mirror
+			if err = json.Unmarshal(item.Body, &mirror); err == nil {
+				err = mirror.CheckNamed(lanes)
+			}
+		}
+		if err != nil {
+			return derail.New(derail.BadManifest, err.Error())
+		}
+	}
+	return nil
+}
+
+func (b Book) checkPlan(item Item) error {
+	var plan loadgauge.Plan
+	if err := json.Unmarshal(item.Body, &plan); err != nil {
+		return err
+	}
+	if plans, _ := own[loadgauge.Plan](b, PlanItem); len(plans) > 1 {
+		return derail.New(derail.BadManifest, "plan "+plans[0].Name+" stands beside plan "+plans[1].Name+"; there is one")
+	}
+	return plan.Check(b.gaugeLanes())
+}
--- a/internal/manifest/sheet.go
+++ b/internal/manifest/sheet.go
@@ -5,6 +5,9 @@
 	"sort"
 	"strings"
 	"time"
+
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/loopline"
 )
 
 // Lane is a lane made ready for the path of an inquiry.
@@ -12,6 +15,16 @@
 	LaneSpec
 	Host    string
 	weights float64
+	// Tier is the lane's place in the order of what is turned away.
+	Tier loadgauge.Tier
+	// Mirror is the order by which its conversations are copied, if there is one.
+	Mirror *Mirror
+}
+
+// Mirror is an order to copy, with its version.
+type Mirror struct {
+	loopline.Mirror
+	Version Version
 }
 
 // IsRepeatable tells whether an inquiry on the lane may run more than once.
@@ -53,6 +66,9 @@
 	// ranks are the highest ranks of the lanes that lead to each service.
 	ranks map[string]int
 	Lanes int
+	// Plan is the operator's plan, Order the order that follows from it.
+	Plan  loadgauge.Plan
+	Order *loadgauge.Order
 }
 
 // Compile makes the sheet of a book. Where two accepted changes raced into one
@@ -64,7 +80,7 @@
 //	sheet := book.Compile()
 //	lane := sheet.Find("jepu9.example", "/lepu270/2f")
 func (b Book) Compile() *Sheet {
-	sheet := &Sheet{Services: map[string]ServiceSpec{}, hosts: map[string]map[string]*Lane{}, ranks: map[string]int{}}
+	sheet := &Sheet{Services: map[string]ServiceSpec{}, hosts: map[string]map[string]*Lane{}, ranks: map[string]int{}, Plan: b.Plan()}
 	sheet.Limits = LimitsSpec{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20}
 	items := b.Items()
 	sort.SliceStable(items, func(i, j int) bool { return items[i].Version < items[j].Version })
@@ -84,9 +100,51 @@
 			sheet.lay(item)
 		}
 	}
+	sheet.layTiers()
+	sheet.layMirrors(b)
 	return sheet
 }
 
+// layTiers gives every lane its place in the order of what is turned away.
+func (s *Sheet) layTiers() {
+	var lanes []loadgauge.Lane
+	s.each(func(lane *Lane) {
+		lanes = append(lanes, loadgauge.Lane{Name: lane.Name, Host: lane.Host, Priority: lane.Priority, Kind: gaugeKinds[lane.LaneType]})
+	})
+	s.Order = loadgauge.Arrange(s.Plan, lanes)
+	s.each(func(lane *Lane) { lane.Tier = s.Order.TierOf(lane.Name) })
+}
+
+func (s *Sheet) layMirrors(b Book) {
+	mirrors, versions := b.Mirrors()
+	for i, mirror := range mirrors {
+		laid := &Mirror{mirror, versions[i]}
+		s.each(func(lane *Lane) {
+			if mirror.Covers(loopline.Lane{Name: lane.Name, Host: lane.Host}) {
+				lane.Mirror = laid
+			}
+		})
+	}
+}
+
+// IsLive tells whether a lane delivers to the service.
+//
+// Example:
+//
+//	if sheet.IsLive(mirror.Shadow) { copyNothing() }
+func (s *Sheet) IsLive(service string) bool {
+	_, isKnown := s.ranks[service]
+	return isKnown
+}
+
+func (s *Sheet) each(visit func(*Lane)) {
+	for _, lanes := range s.hosts {
+		for _, lane := range lanes {
+			visit(lane)
+		}
+	}
+}
+
 func (s *Sheet) lay(item Item) {
 	lane := &Lane{Host: strings.ToLower(item.Host)}
 	if json.Unmarshal(item.Body, &lane.LaneSpec) != nil {
--- a/internal/objects/command.go
+++ b/internal/objects/command.go
@@ -55,15 +55,15 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	text, sites, err := Parse(file)
+	text, own, err := Parse(file)
 	if err != nil {
 		return errors.Annotate(err, *c.file)
 	}
 	path := "/v1/manifest/modify"
 	if *c.staged != "" {
 		order := map[string]any{"Name": *c.staged, "First": *c.first, "Duration": timetable.Span(*c.duration), "Change": json.RawMessage(text)}
-		if path = "/v1/staged/start"; sites != nil {
-			return errors.NotSupportedf("a Site in a staged change")
+		if path = "/v1/staged/start"; len(own) > 0 {
+			return errors.NotSupportedf("an object for %s in a staged change", own[0].Path)
 		}
 		if text, err = json.Marshal(order); err != nil {
 			return errors.Trace(err)
@@ -71,22 +71,20 @@
 	}
 	if *c.isDry {
 		fmt.Fprintln(c.out, string(text))
-		if sites != nil {
-			fmt.Fprintln(c.out, string(sites))
+		for _, one := range own {
+			fmt.Fprintln(c.out, string(one.Text))
 		}
 		return nil
 	}
 	if *c.control == "" {
 		return errors.NotValidf("call without --control")
 	}
-	if sites != nil {
-		if err := c.send("/v1/sites/modify", sites); err != nil {
+	// Plans and mirrors name lanes, so these come first.
+	for _, one := range append([]Own{{path, text}}, own...) {
+		if err := c.send(one.Path, one.Text); err != nil {
 			return err
 		}
 	}
-	if err := c.send(path, text); err != nil {
-		return err
-	}
 	fmt.Fprintln(c.out, "acknowledged")
 	return nil
 }
--- a/internal/objects/objects.go
+++ b/internal/objects/objects.go
@@ -1,11 +1,13 @@
 // Package objects reads Kubernetes-style objects as a manifest: the kinds Lane,
-// Service, Limits and Site of ploverhitch/v1. It is a small part; what it does not
+// Service, Limits, Site, Plan and Mirror of ploverhitch/v1. It is a small part; what it does not
 // know it refuses by name.
 package objects
 
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -66,9 +68,10 @@
 	} `json:"spec"`
 }
 
-// call is an operator's call as the control interface takes it.
+// call is an operator's call as the control interface takes it, and beside it the
+// calls for the project's own kinds, by their paths.
 type call struct {
-	sites []siteCall
+	own map[string][]any
 
 	Upsert struct {
 		Services     []manifest.ServiceSpec `json:"Services,omitempty"`
@@ -85,17 +88,24 @@
 // readers is the table from a kind to how an object of it is taken.
 var readers = map[string]func(*call, []byte) error{
 	"Lane": (*call).lane, "Service": (*call).service, "Limits": (*call).limits, "Site": (*call).site,
+	"Plan": (*call).plan, "Mirror": (*call).mirror,
+}
+
+// Own is the call for objects of one of the project's own kinds.
+type Own struct {
+	Path string
+	Text []byte
 }
 
 // Parse turns a file of objects, parted by lines of ---, into the text of an
-// operator's call, checked as the core would check it by itself. Sites come in a
-// call of their own, if there are any.
+// operator's call, checked as the core would check it by itself. Kinds of the
+// project's own come in calls of their own, if there are any.
 //
 // Example:
 //
-//	text, sites, err := objects.Parse(file)
-func Parse(file []byte) (text, sites []byte, err error) {
-	var out call
+//	text, own, err := objects.Parse(file)
+func Parse(file []byte) (text []byte, own []Own, err error) {
+	out := call{own: map[string][]any{}}
 	for i, document := range strings.Split("\n"+string(file), "\n---") {
 		if len(bytes.TrimSpace([]byte(document))) == 0 {
 			continue
@@ -115,12 +125,18 @@
 	if text, err = json.Marshal(out); err != nil {
 		return nil, nil, errors.Trace(err)
 	}
-	if _, err = manifest.ParseModify(text); err == nil && len(out.sites) > 0 {
-		if sites, err = json.Marshal(map[string]any{"Upsert": out.sites}); err == nil {
-			_, err = manifest.ParseSites(sites)
+	_, err = manifest.ParseModify(text)
+	for _, path := range slices.Sorted(maps.Keys(out.own)) {
+		var body []byte
+		if err == nil {
+			body, err = json.Marshal(map[string]any{"Upsert": out.own[path]})
+		}
+		if err == nil {
+			_, err = manifest.Parser(ownPaths[path])(body)
 		}
+		own = append(own, Own{path, body})
 	}
-	return text, sites, errors.Trace(err)
+	return text, own, errors.Trace(err)
 }
 
 func (c *call) take(head header, document []byte) error {
--- a/internal/objects/objects_test.go
+++ b/internal/objects/objects_test.go
@@ -72,9 +72,11 @@
 
 var _ = Describe("a Site object", func() {
 	It("becomes a call of its own, and is refused by name where it is wrong", func() {
-		_, sites, err := objects.Parse([]byte("apiVersion: ploverhitch/v1\nkind: Site\nmetadata: {name: hall, generation: 3}\nspec: {parent: a, servers: [i-1], capacity: {exams: 4}}\n"))
+		_, own, err := objects.Parse([]byte("apiVersion: ploverhitch/v1\nkind: Site\nmetadata: {name: hall, generation: 3}\nspec: {parent: a, servers: [i-1], capacity: {exams: 4}}\n"))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(sites)).To(MatchJSON(`{"Upsert":[{"Name":"hall","Parent":"a","Servers":["i-1"],"Capacity":{"exams":4},"Revision":"r3"}]}`))
+		Expect(own).To(HaveLen(1))
+		Expect(own[0].Path).To(Equal("/v1/sites/modify"))
+		Expect(string(own[0].Text)).To(MatchJSON(`{"Upsert":[{"Name":"hall","Parent":"a","Servers":["i-1"],"Capacity":{"exams":4},"Revision":"r3"}]}`))
 		_, _, err = objects.Parse([]byte("apiVersion: ploverhitch/v1\nkind: Site\nmetadata: {name: hall, generation: 3}\nspec: {floor: 2}\n"))
 		Expect(err).To(MatchError(ContainSubstring("floor")))
 	})
--- /dev/null
+++ b/internal/objects/own.go
@@ -0,0 +1,117 @@
+package objects
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"sigs.k8s.io/yaml"
+
+	"ploverhitch/internal/branchline"
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/manifest"
+)
+
+const (
+	sitesPath   = "/v1/sites/modify"
+	plansPath   = "/v1/plans/modify"
+	mirrorsPath = "/v1/mirrors/modify"
+)
+
+// ownPaths is the table from the path of a call to the class of its items.
+var ownPaths = map[string]manifest.Class{
+	sitesPath: manifest.SiteItem, plansPath: manifest.PlanItem, mirrorsPath: manifest.MirrorItem,
+}
+
+type siteObject struct {
+	header `json:",inline"`
+	Spec   struct {
+		Parent   string         `json:"parent"`
+		Cells    []string       `json:"cells"`
+		Servers  []string       `json:"servers"`
+		Capacity map[string]int `json:"capacity"`
+	} `json:"spec"`
+}
+
+type planObject struct {
+	header `json:",inline"`
+	Spec   struct {
+		Conversation string `json:"conversation"`
+		Tiers        []struct {
+			Name  string   `json:"name"`
+			Order int      `json:"order"`
+			Hosts []string `json:"hosts"`
+			Lanes []string `json:"lanes"`
+		} `json:"tiers"`
+	} `json:"spec"`
+}
+
+type mirrorObject struct {
+	header `json:",inline"`
+	Spec   struct {
+		Lanes        []string `json:"lanes"`
+		Hosts        []string `json:"hosts"`
+		Shadow       string   `json:"shadow"`
+		Share        float64  `json:"share"`
+		Conversation struct {
+			Header string `json:"header"`
+			Cookie string `json:"cookie"`
+		} `json:"conversation"`
+		Until time.Time `json:"until"`
+	} `json:"spec"`
+}
+
+// The project's own kinds as the control interface takes them.
+type (
+	siteCall struct {
+		branchline.Site
+		Revision manifest.Version `json:"Revision"`
+	}
+	planCall struct {
+		loadgauge.Plan
+		Revision manifest.Version `json:"Revision"`
+	}
+	mirrorCall struct {
+		loopline.Mirror
+		Revision manifest.Version `json:"Revision"`
+	}
+)
+
+func (c *call) site(document []byte) error {
+	var o siteObject
+	if err := yaml.UnmarshalStrict(document, &o); err != nil {
+		return errors.Trace(err)
+	}
+	site := branchline.Site{Name: o.Metadata.Name, Parent: o.Spec.Parent, Cells: o.Spec.Cells, Servers: o.Spec.Servers, Capacity: o.Spec.Capacity}
+	c.own[sitesPath] = append(c.own[sitesPath], siteCall{site, manifest.Version(o.Metadata.Generation)})
+	return nil
+}
+
+func (c *call) plan(document []byte) error {
+	var o planObject
+	if err := yaml.UnmarshalStrict(document, &o); err != nil {
+		return errors.Trace(err)
+	}
+	plan := loadgauge.Plan{Name: o.Metadata.Name, Conversation: o.Spec.Conversation}
+	for _, tier := range o.Spec.Tiers {
+		plan.Tiers = append(plan.Tiers, loadgauge.PlanTier(tier))
+	}
+	c.own[plansPath] = append(c.own[plansPath], planCall{plan, manifest.Version(o.Metadata.Generation)})
+	return nil
+}
+
+func (c *call) mirror(document []byte) error {
+	var o mirrorObject
+	if err := yaml.UnmarshalStrict(document, &o); err != nil {
+		return errors.Trace(err)
+	}
+	mirror := loopline.Mirror{
+		Name: o.Metadata.Name, Lanes: o.Spec.Lanes, Hosts: o.Spec.Hosts, Shadow: o.Spec.Shadow, Share: o.Spec.Share,
+		Header: o.Spec.Conversation.Header, Cookie: o.Spec.Conversation.Cookie, Until: o.Spec.Until,
+	}
+	if err := mirror.Check(); err != nil {
+		return errors.Trace(err)
+	}
+	c.own[mirrorsPath] = append(c.own[mirrorsPath], mirrorCall{mirror, manifest.Version(o.Metadata.Generation)})
+	return nil
+}
--- a/internal/points/deliver.go
+++ b/internal/points/deliver.go
@@ -40,6 +40,9 @@
 		one.service = one.lane.Pick(rand.Float64())
 		p.budget(one.service).Ask()
 		one.takePlace()
+		if err := p.shed(one); err != nil {
+			return nil, err
+		}
 		p.admitTrial(one)
 		if one.sight.yard.Ready(one.service) == 0 {
 			return nil, derail.New(derail.NoServer, one.service)
@@ -211,6 +214,7 @@
 	took := time.Duration(now - began)
 	usual := d.pace.mean()
 	d.testify(siding, mark, reply, err, took, usual)
+	d.strainOf(siding, reply, err, took)
 	outcome := shunt.Served
 	switch {
 	case err != nil && errors.Is(err, coupling.ErrNotSent) && errors.Is(err, errors.Timeout):
--- a/internal/points/inquiry.go
+++ b/internal/points/inquiry.go
@@ -14,6 +14,7 @@
 	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/derail"
 	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/shunt"
 )
@@ -41,6 +42,9 @@
 	isReplayed bool
 	// stage is there where a staged change touches the inquiry.
 	stage *stageMark
+	// client is where it came from; took is how long its reply took.
+	client string
+	took   time.Duration
 }
 
 // takePlace places keyed operations by their key and downloads by their path;
@@ -76,14 +80,21 @@
 	}
 	one.leave = func() {}
 	reply, err := p.serve(r.Context(), one)
+	one.took = time.Since(one.arrived)
 	defer func() { one.leave() }()
 	if err != nil {
 		p.settleStage(one, nil, err, false)
 		p.refuse(w, r, err)
+		p.mirror(one, nil, mayHaveRun(err))
 		return
 	}
-	isBroken, err := p.answer(w, reply.(*coupling.Reply))
-	p.settleStage(one, reply.(*coupling.Reply), nil, isBroken)
+	out := reply.(*coupling.Reply)
+	isBroken, err := p.answer(w, out)
+	p.settleStage(one, out, nil, isBroken)
+	if isBroken {
+		out = nil
+	}
+	p.mirror(one, out, isBroken)
 	if err != nil {
 		// One that breaks off after its start must not look complete, so the
 		// client's connection is broken too.
@@ -93,7 +104,7 @@
 
 // read checks the inquiry and reads it whole.
 func (p *proxy) read(w http.ResponseWriter, r *http.Request) (*inquiry, error) {
-	one := &inquiry{arrived: time.Now(), sight: p.sight.Load()}
+	one := &inquiry{arrived: time.Now(), sight: p.sight.Load(), client: clientOf(r)}
 	limits := one.sight.sheet.Limits
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	attempt := r.Header.Values(coupling.HeaderAttempt)
@@ -104,6 +115,8 @@
 		return nil, derail.New(derail.BadInquiry, "one attempt id is needed")
 	case limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes:
 		return nil, derail.New(derail.HeaderTooLarge, "")
+	case len(r.Header.Values(loopline.Marker)) > 0:
+		return nil, derail.New(derail.Shadowed, "")
 	case !one.sight.isWhole:
 		return nil, derail.New(derail.NoServer, "the manifest is not here yet")
 	}
@@ -157,6 +170,9 @@
 		kind = known.Kind
 	}
 	answer := derail.AnswerOf(kind)
+	if known != nil && known.After > 0 {
+		answer.RetryAfter = known.After
+	}
 	header := w.Header()
 	if id := r.Header.Get(coupling.HeaderAttempt); id != "" {
 		header.Set(coupling.HeaderAttempt, id)
@@ -174,6 +190,12 @@
 	_, _ = io.WriteString(w, answer.Reason+"\n")
 }
 
+// mayHaveRun tells whether an inquiry that ended without a reply may have run.
+func mayHaveRun(err error) bool {
+	var known *derail.Error
+	return errors.As(err, &known) && (known.Kind == derail.Broken || known.Kind == derail.Late)
+}
+
 // answer passes a server's reply on. isBroken tells that the server broke off.
 func (p *proxy) answer(w http.ResponseWriter, reply *coupling.Reply) (isBroken bool, err error) {
 	coupling.CopyBack(w.Header(), reply.Header)
--- a/internal/points/moves.go
+++ b/internal/points/moves.go
@@ -84,9 +84,14 @@
 
 func (p *proxy) inForce(struct{}) telegram.Sight {
 	s := p.sight.Load()
-	return telegram.Sight{
+	out := telegram.Sight{
 		Node: p.set.Load().Platform.NodeName, Digest: s.digest, Epoch: uint64(s.view.Epoch), IsReady: p.isReady(), Servers: s.yard.Size(),
 	}
+	cutoffs, isFloor := p.cutoffs(s)
+	for _, cutoff := range cutoffs {
+		out.Cutoff, out.IsFloor = max(out.Cutoff, cutoff.Number), isFloor
+	}
+	return out
 }
 
 // AskAddress is where a machine's proxy answers what operators ask.
@@ -106,6 +111,8 @@
 		telegram.KindMoves: answering(p.moves),
 		telegram.KindHomes: answering(p.homes),
 		telegram.KindSight: answering(p.inForce),
+
+		telegram.KindMirrored: answering(p.mirrored),
 	}, coreSilence)
 	return listener, nil
 }
--- a/internal/points/pace.go
+++ b/internal/points/pace.go
@@ -13,6 +13,9 @@
 	deviation float64
 	bytes     float64
 	count     int
+	// base is the least that the mean was, drifting up slowly: what replies take
+	// while nothing is overloaded.
+	base float64
 }
 
 const (
@@ -20,6 +23,7 @@
 	patienceSpread = 4.0
 	patienceLeast  = 0.35
 	crossingLeast  = 2 * time.Millisecond
+	baseDrift      = 0.0005
 )
 
 func (p *proxy) paceOf(lane string) *pace {
@@ -37,6 +41,10 @@
 	weight := max(paceWeight, 1/float64(p.count))
 	off := took.Seconds() - p.seconds
 	p.seconds += weight * off
+	if p.base == 0 || p.seconds < p.base {
+		p.base = p.seconds
+	}
+	p.base += baseDrift * (p.seconds - p.base)
 	p.deviation += weight * (max(off, -off) - p.deviation)
 	if bytes >= 0 {
 		p.bytes += weight * (float64(bytes) - p.bytes)
@@ -56,6 +64,13 @@
 	return time.Duration(p.seconds * float64(time.Second))
 }
 
+// least is what replies take while nothing is overloaded.
+func (p *pace) least() time.Duration {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return time.Duration(p.base * float64(time.Second))
+}
+
 // patience is how long a first try is given before another server is asked
 // too: what replies usually take and a wide margin, and never less than a good
 // part of what the operator aims at.
--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,8 @@
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/headway"
 	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/roster"
 	"ploverhitch/internal/settings"
@@ -49,6 +50,10 @@
 	// stages are the staged changes under way.
 	stages  []stage
 	isWhole bool
+	// cutoffs are what is turned away, mirrors what is copied, by the fleet's
+	// grants.
+	cutoffs []loadgauge.Cutoff
+	mirrors []loopline.Grant
 }
 
 // proxy is one points process.
@@ -82,6 +87,9 @@
 	allowances sync.Map
 	// purse holds what this node may use of other sites' room.
 	purse *branchline.Purse
+	// gate decides what is turned away under overload, copier what is copied.
+	gate   *gate
+	copier *copier
 }
 
 const (
@@ -120,6 +128,7 @@
 	p.follower = feed.NewFollower("points", near, p.loop.Put, 50*time.Millisecond)
 	go p.follower.Run(inner)
 	go p.reportOn(inner)
+	p.copyOn(inner)
 	server := &http.Server{
 		Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerSpan, IdleTimeout: idleSpan,
 		MaxHeaderBytes: headerCeiling,
@@ -141,6 +150,7 @@
 	p := &proxy{
 		clock: clock, note: note, loop: timetable.NewLoop[feed.News](256), board: feed.NewBoard(),
 		lines: map[string]*signal.Line{}, budgets: map[string]*shunt.Budget{}, life: newLife(), box: hotbox.NewBox(), purse: branchline.NewPurse(clock),
+		gate: newGate(clock), copier: newCopier(),
 	}
 	p.set.Store(set)
 	home := shunt.Home{Node: set.Platform.NodeName, Cell: set.Platform.Cell, Set: set.Tuning.WorkingSet}
@@ -195,15 +205,6 @@
 	}
 }
 
-// take is the sight after a new reading of the fleet.
-func (s *sight) take(fleet feed.Fleet, now timetable.Steady) {
-	if !slices.Equal(s.servers, fleet.Servers) {
-		s.yard, s.servers = s.yard.Lay(fleet), fleet.Servers
-	}
-	s.proxies, s.shares, s.holder = fleet.Proxies, fleet.Shares, fleet.Holder
-	s.reading, s.heard = fleet.Reading(), now
-}
-
 func (p *proxy) isReady() bool {
 	s := p.sight.Load()
 	return s.isWhole && s.sheet.Lanes > 0 && s.yard.Size() > 0 && !p.isLeaving.Load()
--- a/internal/points/replay.go
+++ b/internal/points/replay.go
@@ -35,6 +35,7 @@
 	ledger.Conflicting: rejecting(derail.Conflict),
 	ledger.Limited:     rejecting(derail.OverLimit),
 	ledger.NoMajority:  rejecting(derail.NoQuorum),
+	ledger.TurnedAway:  (*attempt).turnAway,
 }
 
 func rejecting(kind derail.Kind) func(*attempt, context.Context, endpoint.Endpoint) (any, error) {
@@ -69,6 +70,12 @@
 	}
 }
 
+// turnAway refuses the creation of an intent, as a majority of the core says.
+func (a *attempt) turnAway(context.Context, endpoint.Endpoint) (any, error) {
+	a.gate.counter.Shed(a.one.service, a.one.lane.Tier)
+	return nil, a.one.comeBack()
+}
+
 // forward delivers the inquiry of a won round, and records the outcome on a
 // majority before the client gets it.
 func (a *attempt) forward(ctx context.Context, next endpoint.Endpoint) (any, error) {
--- a/internal/points/trial.go
+++ b/internal/points/trial.go
@@ -13,7 +13,6 @@
 	"ploverhitch/internal/hotbox"
 	"ploverhitch/internal/settings"
 	"ploverhitch/internal/shunt"
-	"ploverhitch/internal/signal"
 	"ploverhitch/internal/telegram"
 	"ploverhitch/internal/timetable"
 )
@@ -23,6 +22,8 @@
 	// restPeriods is how many periods pass between reports while nothing is on
 	// trial.
 	restPeriods = 4
+	// reportSpan is how long the reply to a report is waited for.
+	reportSpan = time.Second
 	// slowTimes is how many times as long as usual a slow reply takes, slowLeast
 	// what is never slow.
 	slowTimes = 3
@@ -118,7 +119,8 @@
 	timetable.Every(ctx, reportPeriod, func() {
 		periods++
 		s := p.sight.Load()
-		if s.holder == "" || len(s.shares)+len(s.stages) == 0 && !p.isShort() && periods%restPeriods > 0 {
+		isStrained := p.measure()
+		if s.holder == "" || len(s.shares)+len(s.stages) == 0 && !p.isShort() && !isStrained && periods%restPeriods > 0 {
 			return
 		}
 		set, sentAt := p.set.Load(), p.clock.Steady()
@@ -131,11 +133,14 @@
 		if set.Tuning.Branchline != settings.BranchOff {
 			out.Uses = p.purse.Uses()
 		}
-		p.line(s.holder).Send(telegram.KindReport, out, func(body []byte, err error) {
+		out.Loads, out.Mirrored = p.loads(), p.copier.tallies()
+		line := p.line(s.holder)
+		go func() {
 			var told telegram.Lots
-			if err == nil && signal.Unpack(body, &told) == nil {
+			if line.Ask(telegram.KindReport, out, &told, reportSpan) == nil {
+				p.heard()
 				p.purse.Take(told.Lots, sentAt)
 			}
-		})
+		}()
 	})
 }
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -93,6 +93,21 @@
 	return out
 }
 
+// Followed orders the members for one follower: it keeps to the first of them, and
+// every follower's order is another, so that each member carries its part.
+//
+// Example:
+//
+//	members := roster.Followed(view.Members, node)[:view.Majority()]
+func Followed(members []string, follower string) []string {
+	out := slices.Clone(members)
+	sort.Slice(out, func(i, j int) bool {
+		a, z := place(follower+"\x00"+out[i]), place(follower+"\x00"+out[j])
+		return a < z || a == z && out[i] < out[j]
+	})
+	return out
+}
+
 func place(name string) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(name))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -100,10 +100,19 @@
 	Branchline string `yaml:"branchline"`
 	// WorkingSet is how many servers of a service one proxy keeps to.
 	WorkingSet int `yaml:"working_set"`
+	// Loadgauge says whether nodes turn inquiries away by the cutoff that all agree
+	// on: off or on.
+	Loadgauge string `yaml:"loadgauge"`
 	// Loopback is where a machine's proxy finds its telegraph.
 	Loopback string `yaml:"loopback"`
 }
 
+// Whether the cutoff of an overload is agreed on and heeded.
+const (
+	GaugeOff = "off"
+	GaugeOn  = "on"
+)
+
 // When callers are passed to other sites by lots only.
 const (
 	BranchOff    = "off"
@@ -154,7 +163,7 @@
 	return Tuning{
 		VoteSpan: 250 * ms, RecordWait: 250 * ms, Retention: 24 * 3600 * 1000 * ms,
 		OpenLimit: 4096, BufferBytes: 1 << 20, Beat: 300 * ms, SilentAfter: 1200 * ms,
-		ReplaceAfter: 2500 * ms, Poll: 400 * ms, LogLevel: "warn", Branchline: BranchOff, CrossingPerKB: 10 * ms, WorkingSet: 24, Loopback: "127.0.0.1",
+		ReplaceAfter: 2500 * ms, Poll: 400 * ms, LogLevel: "warn", Branchline: BranchOff, Loadgauge: GaugeOff, CrossingPerKB: 10 * ms, WorkingSet: 24, Loopback: "127.0.0.1",
 	}
 }
 
@@ -185,6 +194,7 @@
 		"tuning.buffer_bytes":              validation.Validate(t.BufferBytes, validation.Min(4096)),
 		"tuning.working_set":               validation.Validate(t.WorkingSet, validation.Min(4)),
 		"tuning.branchline":                validation.Validate(t.Branchline, validation.In(BranchOff, BranchFallen, BranchAlways)),
+		"tuning.loadgauge":                 validation.Validate(t.Loadgauge, validation.In(GaugeOff, GaugeOn)),
 		"tuning.loopback":                  validation.Validate(t.Loopback, validation.Required, is.IPv4),
 		"tuning.log_level":                 validation.Validate(t.LogLevel, validation.In("debug", "info", "warn", "error")),
 	}) {
--- /dev/null
+++ b/internal/shunt/paces_test.go
@@ -0,0 +1,48 @@
+package shunt_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/timetable"
+)
+
+var _ = Describe("news of paces alone", func() {
+	It("change nothing of the yard but what a choice weighs", func() {
+		fleet := feed.Fleet{Term: 1, Count: 1}
+		for id := range 40 {
+			fleet.Servers = append(fleet.Servers, feed.Server{ID: fmt.Sprintf("i-%02d", id), Service: "s", Cell: "a", Capacity: 2, IsReady: true, Pace: 8})
+		}
+		yard := shunt.NewYard(shunt.Home{Node: "n", Cell: "a"}).Lay(fleet)
+		homes := map[string]*shunt.Siding{}
+		for id := range 20 {
+			homes[fmt.Sprint(id)] = yard.Home("s", shunt.PlaceOf(fmt.Sprint(id)))
+		}
+		next := feed.Fleet{Term: 1, Count: 2, Servers: slices.Clone(fleet.Servers)}
+		for i := range next.Servers {
+			next.Servers[i].Pace = 40
+		}
+		next.Servers[7].Pace, next.Servers[9].IsAside = 1, true
+		laid := yard.Lay(next)
+		for id, home := range homes {
+			Expect(laid.Home("s", shunt.PlaceOf(id))).To(BeIdenticalTo(home))
+		}
+		yard.Hear(next)
+		slow, quick := 0, 0
+		for range 400 {
+			switch yard.Choose(shunt.Wish{Service: "s", Usual: 100 * time.Millisecond}, &timetable.Hand{}).ID {
+			case "i-07":
+				quick++
+			case "i-09":
+				slow++
+			}
+		}
+		Expect(quick).To(BeNumerically(">", 2*slow+5))
+	})
+})
--- a/internal/shunt/siding.go
+++ b/internal/shunt/siding.go
@@ -25,6 +25,10 @@
 	// pace is how long its replies take here beside the lane's usual, smoothed,
 	// in thousandths; paced how many showed it.
 	pace, paced atomic.Int64
+	// told is the pace that all proxies saw, in eighths, and isAside that they
+	// found the server ill: both change often, and nothing else with them.
+	told    atomic.Int64
+	isAside atomic.Bool
 	// shy is until when the server is passed over if there is another.
 	shy   atomic.Int64
 	fails atomic.Int64
@@ -48,7 +52,22 @@
 )
 
 func newSiding(server feed.Server) *Siding {
-	return &Siding{Server: server, learnt: &learnt{Rack: &coupling.Rack{Address: server.Address, Instance: server.ID}}}
+	s := &Siding{Server: server, learnt: &learnt{Rack: &coupling.Rack{Address: server.Address, Instance: server.ID}}}
+	s.hear(server)
+	return s
+}
+
+// hear takes what the news say of the server that is no part of its identity.
+func (s *Siding) hear(server feed.Server) {
+	s.told.Store(int64(server.Pace))
+	s.isAside.Store(server.IsAside)
+}
+
+// isSame tells whether the list says the same of the server but for what hear
+// takes.
+func (s *Siding) isSame(server feed.Server) bool {
+	server.Pace, server.IsAside = s.Pace, s.IsAside
+	return s.Server == server
 }
 
 // Begin notes that an inquiry is on its way to the server.
@@ -103,8 +122,8 @@
 func (s *Siding) beside() float64 {
 	own := float64(min(s.paced.Load(), ownMost))
 	shared := 1.0
-	if s.Pace > 0 {
-		shared = float64(s.Pace) / 8
+	if told := s.told.Load(); told > 0 {
+		shared = float64(told) / 8
 	}
 	return (shared*sharedWeight + own*float64(s.pace.Load())/1000) / (sharedWeight + own)
 }
@@ -119,8 +138,8 @@
 	if s.Cell != cell {
 		cost += float64(wish.Crossing)
 	}
-	isTrickle := s.IsAside && rand.IntN(trickle) == 0
-	if int64(now) < s.shy.Load() || s.IsAside && !isTrickle {
+	isAside := s.isAside.Load()
+	if int64(now) < s.shy.Load() || isAside && rand.IntN(trickle) > 0 {
 		cost += float64(time.Hour)
 	}
 	return cost
--- a/internal/shunt/stand.go
+++ b/internal/shunt/stand.go
@@ -70,7 +70,7 @@
 // Example:
 //
 //	if !siding.IsSound() { passOn() }
-func (s *Siding) IsSound() bool { return s.fails.Load() == 0 && !s.IsAside && !s.isGone.Load() }
+func (s *Siding) IsSound() bool { return s.fails.Load() == 0 && !s.isAside.Load() && !s.isGone.Load() }
 
 // IsFallen tells whether the node's own cell has lost most of a service: few of
 // its servers are left that are ready and did not fail when last asked.
--- a/internal/shunt/yard.go
+++ b/internal/shunt/yard.go
@@ -40,9 +40,10 @@
 		switch {
 		case siding == nil:
 			siding = newSiding(server)
-		case siding.Server != server:
+		case !siding.isSame(server):
 			siding = siding.with(server)
 		}
+		siding.hear(server)
 		next.byID[server.ID] = siding
 		switch {
 		case !server.IsReady || server.Grade == feed.Shut:
@@ -63,6 +64,30 @@
 	return next
 }
 
+// Hear takes over the paces of a fleet whose servers are otherwise those of the
+// yard, without laying anything anew.
+//
+// Example:
+//
+//	if feed.IsKeptAs(fleet.Servers, servers) { yard.Hear(fleet) }
+func (y *Yard) Hear(fleet feed.Fleet) {
+	for _, server := range fleet.Servers {
+		if siding := y.byID[server.ID]; siding != nil {
+			siding.hear(server)
+		}
+	}
+}
+
+// Find is a listed server by its instance.
+//
+// Example:
+//
+//	if siding, isThere := yard.Find(id); isThere { look(siding) }
+func (y *Yard) Find(id string) (siding *Siding, isThere bool) {
+	siding, isThere = y.byID[id]
+	return siding, isThere
+}
+
 // trialName is the stand of a service's version on trial.
 func trialName(service string) string { return service + "\x00trial" }
 
--- a/internal/signal/frame.go
+++ b/internal/signal/frame.go
@@ -76,8 +76,23 @@
 //
 //	conn, err := signal.Dial("10.1.0.42:7200", time.Second, 2*time.Second)
 func Dial(address string, connect, silence time.Duration) (net.Conn, error) {
+	return DialWindow(address, connect, silence, 0)
+}
+
+// DialWindow connects as Dial does, with a bound on what the other side may have
+// on its way at once, if it is not 0.
+//
+// Example:
+//
+//	conn, err := signal.DialWindow("10.1.0.42:7200", time.Second, 2*time.Second, 4096)
+func DialWindow(address string, connect, silence time.Duration, window int) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: connect, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { boundSilence(int(fd), silence) })
+		return raw.Control(func(fd uintptr) {
+			boundSilence(int(fd), silence)
+			if window > 0 {
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, window)
+			}
+		})
 	}}
 	return dialer.Dial("tcp4", address)
 }
--- a/internal/signalbox/conductor.go
+++ b/internal/signalbox/conductor.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"ploverhitch/internal/branchline"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/hotbox"
-	"ploverhitch/internal/manifest"
-	"ploverhitch/internal/telegram"
+	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
 )
@@ -29,6 +28,15 @@
 	listed  []feed.Server
 	last    feed.Fleet
 	toldAt  timetable.Steady
+	// published are the last readings, for telling what has changed since them.
+	published []feed.Fleet
+	// paces are the servers' as last told, and when; termAt is when the term
+	// began here.
+	paces   map[string]int
+	pacedAt timetable.Steady
+	termAt  timetable.Steady
+	// laidOutAt is when the fleet was laid out last.
+	laidOutAt timetable.Steady
 	// cells are where the proxies are; tree is the sites, of the book with the
 	// digest treeOf; office gives out their room under officeTerm.
 	cells      map[string]string
@@ -36,6 +44,13 @@
 	treeOf     string
 	office     *branchline.Office
 	officeTerm uint64
+	laid       feed.Reading
+	laidAt     timetable.Steady
+	// gauge measures the load and decides on cutoffs; copying are the mirrors in
+	// force, of which eras have begun.
+	gauge   *loadgauge.Gauge
+	copying map[string]*copying
+	eras    uint64
 	// doubled is how many keys with two runs were known as a stage began.
 	doubled int
 }
@@ -54,12 +69,22 @@
 const (
 	conductPeriod = 100 * time.Millisecond
 	renewPeriod   = 300 * time.Millisecond
+	// publishPeriod is how often the fleet is laid out anew with nothing granted.
+	publishPeriod = 300 * time.Millisecond
+	// pacePeriod is how often new paces are told: each telling costs every proxy
+	// a little, and they come from as many servers as there are.
+	pacePeriod = time.Second
+	// publishedKept is how many readings are kept for telling changes.
+	publishedKept = 6
+	// proxiesSpan is how long a proxy counts after its last report.
+	proxiesSpan = 5 * time.Second
 )
 
 func newConductor(b *box) *conductor {
 	return &conductor{
 		box: b, loop: timetable.NewLoop[func()](1024), court: hotbox.NewCourt(b.clock),
 		states: map[string]trial.State{}, drives: map[string]*drive{}, cells: map[string]string{},
+		copying: map[string]*copying{}, gauge: loadgauge.NewGauge(b.clock, rand.Uint64),
 	}
 }
 
@@ -82,7 +107,13 @@
 			c.drive(state)
 		}
 	}
-	c.publish()
+	isChanged, now := c.measure(), c.clock.Steady()
+	switch {
+	case isChanged, c.last.HoldsGrants(), time.Duration(now-c.laidOutAt) >= publishPeriod:
+		c.publish()
+	case c.last.Term == c.term:
+		c.tell(c.last)
+	}
 	c.layTree()
 }
 
@@ -111,7 +142,9 @@
 			return false
 		}
 	}
-	c.term, c.states, c.drives = term, states, map[string]*drive{}
+	c.term, c.states, c.drives, c.termAt = term, states, map[string]*drive{}, c.clock.Steady()
+	clear(c.copying)
+	c.takeGauge()
 	var held feed.Fleet
 	c.keeper.read(func(t *tables) { held = t.fleet })
 	if c.last = held; len(c.listed) == 0 {
@@ -180,65 +213,3 @@
 	}
 	return facts
 }
-
-// decide lets the holder's loop decide on an order, and answers what stands
-// against it.
-func (b *box) decide(answer func(telegram.Ordered), decide func(c *conductor) (derail.Kind, string)) {
-	c := b.conductor
-	isTaken := c.loop.Offer(func() {
-		kind, detail := derail.Gone, "the duty is not here"
-		if c.isMaster() {
-			kind, detail = decide(c)
-		}
-		answer(telegram.Ordered{Kind: kind, Detail: detail})
-	})
-	if !isTaken {
-		answer(telegram.Ordered{Kind: derail.Gone})
-	}
-}
-
-func (b *box) onOrder(in telegram.Order, answer func(telegram.Ordered)) {
-	b.decide(answer, func(c *conductor) (derail.Kind, string) { return c.rollOut(in) })
-}
-
-// rollOut takes an order for a service's version.
-func (c *conductor) rollOut(in telegram.Order) (kind derail.Kind, detail string) {
-	state, isKnown := c.states[in.Service]
-	if !isKnown {
-		isService := false
-		c.keeper.read(func(t *tables) {
-			item, isThere := t.book[manifest.ID{Class: manifest.ServiceItem, Name: in.Service}]
-			isService = isThere && !item.Dropped
-		})
-		if !isService {
-			return derail.UnknownSubject, in.Service
-		}
-		state.Subject = in.Service
-	}
-	since := time.Duration(c.clock.Steady() - c.beganAt(state))
-	switch {
-	case state.IsRepeat(in.Target, timetable.Span(in.Duration), since, c.plan()):
-		return derail.None, ""
-	case state.Phase.IsActive():
-		return derail.OtherOrder, "version " + state.Target + " is on trial"
-	}
-	next, isDone := state.Order(in.Target, timetable.Span(in.Duration))
-	if !isDone {
-		return derail.OtherOrder, ""
-	}
-	if in.Target == state.InForce {
-		next.Phase, next.Reason = trial.Complete, "the version is in force"
-	}
-	c.court.Forget(in.Service, next.Number)
-	if err := c.write(next); err != nil {
-		return derail.Gone, ""
-	}
-	c.note("warn", "trial", "subject", in.Service, "phase", next.Phase, "target", in.Target)
-	c.publish()
-	return derail.None, ""
-}
-
-func (c *conductor) plan() trial.Plan {
-	bounds := c.set.Load().Platform.Bounds
-	return trial.Plan{CanaryShare: bounds.CanaryShare, Ack: bounds.Ack.Std()}
-}
--- a/internal/signalbox/fleet.go
+++ b/internal/signalbox/fleet.go
@@ -63,22 +63,24 @@
 // not confirmed it; while shares are granted, it renews them.
 func (c *conductor) publish() {
 	now := c.clock.Steady()
+	c.laidOutAt = now
 	next := feed.Fleet{Term: c.term, Count: c.last.Count, Servers: slices.Clone(c.listed), Holder: c.self}
 	if next.Servers == nil {
 		return
 	}
-	next.Proxies = len(c.hub.Followers())
-	if c.last.Term == c.term {
-		next.Proxies = max(next.Proxies, c.last.Proxies)
-	}
+	next.Proxies = c.proxies()
 	c.grade(&next)
-	next.Stages = c.stages()
+	next.Stages, next.Cutoffs, next.Mirrors = c.stages(), c.cutoffs(), c.mirrors()
 	isSame := c.last.Term == c.term && c.last.Proxies == next.Proxies && c.last.Holder == next.Holder &&
-		slices.Equal(c.last.Shares, next.Shares) && sameStages(c.last.Stages, next.Stages) && slices.Equal(c.last.Servers, next.Servers)
-	isRenewal := len(next.Shares)+len(next.Stages) > 0 && time.Duration(now-c.toldAt) >= renewPeriod
+		slices.Equal(c.last.Shares, next.Shares) && sameStages(c.last.Stages, next.Stages) && slices.Equal(c.last.Servers, next.Servers) &&
+		slices.Equal(c.last.Cutoffs, next.Cutoffs) && slices.Equal(c.last.Mirrors, next.Mirrors)
+	isRenewal := next.HoldsGrants() && time.Duration(now-c.toldAt) >= renewPeriod
 	if !isSame || isRenewal {
 		next.Count++
 		c.last, c.toldAt = next, now
+		if c.published = append(c.published, next); len(c.published) > publishedKept {
+			c.published = slices.Clone(c.published[1:])
+		}
 		for _, share := range next.Shares {
 			if d := c.drives[share.Service]; d != nil && share.Part >= 1 && d.full.Term == 0 {
 				d.full = next.Reading()
@@ -94,22 +96,44 @@
 	})
 }
 
-// tell brings the reading to every member that has not confirmed it yet; no
-// member waits for another.
+// proxies is how many share the servers' connections: those that report, which
+// in this term, and at its beginning by the last holder's word, were never fewer.
+func (c *conductor) proxies() int {
+	count := max(len(c.hub.Followers()), c.court.Proxies(proxiesSpan))
+	if c.last.Term == c.term || time.Duration(c.clock.Steady()-c.termAt) < proxiesSpan {
+		count = max(count, c.last.Proxies)
+	}
+	return count
+}
+
+// tell brings the reading to every member that has not confirmed it yet, as a
+// change where the member holds one that is still known; no member waits for
+// another.
 func (c *conductor) tell(fleet feed.Fleet) {
 	for _, member := range c.view().Members {
 		told, _ := c.told.Load(member)
-		if at, isTold := told.(feed.Reading); isTold && !fleet.Reading().Outranks(at) {
+		at, isTold := told.(feed.Reading)
+		if isTold && !fleet.Reading().Outranks(at) {
 			continue
 		}
 		if _, isOnWay := c.telling.LoadOrStore(member, true); isOnWay {
 			continue
 		}
+		out := fleet
+		for _, old := range c.published {
+			if isTold && old.Reading() == at {
+				out = fleet.ChangeOf(old)
+			}
+		}
 		go func() {
 			defer c.telling.Delete(member)
 			var done telegram.Done
-			if c.ask(member, telegram.KindFleet, fleet, &done, askSpan) == nil && done.OK {
+			switch err := c.ask(member, telegram.KindFleet, out, &done, askSpan); {
+			case err == nil && done.OK:
 				c.told.Store(member, fleet.Reading())
+			case err == nil:
+				// What it holds is not what was thought: it gets the whole.
+				c.told.Delete(member)
 			}
 		}()
 	}
@@ -137,9 +161,15 @@
 			aside[id] = true
 		}
 	}
+	if now := c.clock.Steady(); c.paces == nil || time.Duration(now-c.pacedAt) >= pacePeriod {
+		c.paces, c.pacedAt = make(map[string]int, len(fleet.Servers)), now
+		for _, server := range fleet.Servers {
+			c.paces[server.ID] = c.court.Pace(server.ID)
+		}
+	}
 	for i := range fleet.Servers {
 		fleet.Servers[i].IsAside = aside[fleet.Servers[i].ID]
-		fleet.Servers[i].Pace = c.court.Pace(fleet.Servers[i].ID)
+		fleet.Servers[i].Pace = c.paces[fleet.Servers[i].ID]
 	}
 	for subject, state := range c.states {
 		if d := c.drives[subject]; state.Phase.IsActive() && !state.IsStaged() && d != nil && d.number == state.Number {
--- /dev/null
+++ b/internal/signalbox/gauge.go
@@ -0,0 +1,102 @@
+package signalbox
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/settings"
+)
+
+func (b *box) isGauging() bool { return b.set.Load().Tuning.Loadgauge == settings.GaugeOn }
+
+// heldSpan is how fresh the last holder's cutoffs must be to be gone on from.
+const heldSpan = 5 * time.Second
+
+// takeGauge begins to measure under this node's term, from the cutoffs that the
+// last holder told a moment ago.
+func (c *conductor) takeGauge() {
+	c.gauge = loadgauge.NewGauge(c.clock, rand.Uint64)
+	c.keeper.read(func(t *tables) {
+		if t.fleetAt > 0 && time.Duration(c.clock.Steady()-t.fleetAt) < heldSpan {
+			c.gauge.Hold(t.fleet.Cutoffs)
+		}
+	})
+}
+
+// measure decides on the cutoffs, and tells whether they have changed.
+func (c *conductor) measure() bool {
+	return c.isGauging() && c.gauge.Decide(c.strained)
+}
+
+// strained is the part of a service's ready servers that are overloaded.
+func (c *conductor) strained(service string) float64 {
+	var group []string
+	for _, server := range c.listed {
+		if server.Service == service && server.IsReady {
+			group = append(group, server.ID)
+		}
+	}
+	return c.court.Strained(group)
+}
+
+func (c *conductor) cutoffs() []loadgauge.Cutoff {
+	if !c.isGauging() {
+		return nil
+	}
+	return c.gauge.Cutoffs()
+}
+
+// sheds tells whether this member refuses its vote for a new intent, as the
+// service is overloaded. An intent that exists is never asked about: its replay,
+// its resuming and its record go on.
+func (t *tables) sheds(wanted ledger.Intent, now time.Duration) bool {
+	if len(t.fleet.Cutoffs) == 0 || t.fleetAt == 0 || now-time.Duration(t.fleetAt) > feed.GrantSpan || t.voter.Find(wanted.Key) != nil {
+		return false
+	}
+	for _, cutoff := range t.fleet.Cutoffs {
+		if cutoff.Service == wanted.Service && cutoff.Sheds(t.order().TierOf(wanted.Lane), wanted.Key.Tenant, wanted.Key.Key) {
+			return true
+		}
+	}
+	return false
+}
+
+// order is the order of tiers that follows from this member's book.
+func (t *tables) order() *loadgauge.Order {
+	if digest := t.bookDigest(); t.tiers == nil || t.tiersOf != digest {
+		t.tiers, t.tiersOf = t.book.Compile().Order, digest
+	}
+	return t.tiers
+}
+
+// LoadPage is the order of tiers, the cutoffs in force, and, at the holder of the
+// duty, the load that they were decided on.
+type LoadPage struct {
+	Mode     string              `json:"Mode"`
+	Order    []loadgauge.Rung    `json:"Order"`
+	Cutoffs  []loadgauge.Cutoff  `json:"Cutoffs"`
+	Accounts []loadgauge.Account `json:"Accounts"`
+	IsHolder bool                `json:"IsHolder"`
+	Holder   string              `json:"Holder"`
+}
+
+func (b *box) loadPoint(context.Context, any) (any, error) {
+	c := b.conductor
+	page := LoadPage{Mode: b.set.Load().Tuning.Loadgauge, Order: []loadgauge.Rung{}, Cutoffs: []loadgauge.Cutoff{}, Accounts: []loadgauge.Account{}, Holder: b.holder()}
+	await(c.loop, func() {
+		if page.IsHolder = c.isMaster(); page.IsHolder {
+			page.Accounts = append(page.Accounts, c.gauge.Accounts()...)
+		}
+	})
+	b.keeper.read(func(t *tables) {
+		page.Order = append(page.Order, t.order().Rungs()...)
+		if t.fleetAt > 0 && time.Duration(b.clock.Steady()-t.fleetAt) <= feed.GrantSpan {
+			page.Cutoffs = append(page.Cutoffs, t.fleet.Cutoffs...)
+		}
+	})
+	return page, nil
+}
--- a/internal/signalbox/handlers.go
+++ b/internal/signalbox/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/ledger"
@@ -60,6 +61,10 @@
 			}
 			return nil
 		}
+		if t.sheds(in.Intent, time.Duration(b.clock.Steady())) {
+			vote.Ballot.Verdict = ledger.Shed
+			return nil
+		}
 		var entry *ledger.Entry
 		if vote.Ballot, entry = t.voter.Reserve(in.Intent); entry == nil {
 			return nil
@@ -152,8 +157,15 @@
 		if isFresh = in.Term >= t.term.Number; !isFresh || !in.Reading().Outranks(t.fleet.Reading()) {
 			return nil
 		}
-		isKept := slices.Equal(in.Servers, t.fleet.Servers)
-		if t.fleet = in; isKept {
+		if in.Since != nil {
+			// A change of what this node does not hold is of no use to it.
+			if isFresh = *in.Since == t.fleet.Reading(); !isFresh {
+				return nil
+			}
+			in = t.fleet.With(in)
+		}
+		isKept := feed.IsKeptAs(in.Servers, t.fleet.Servers)
+		if t.fleet, t.fleetAt = in, b.clock.Steady(); isKept {
 			return nil
 		}
 		return []record{{Fleet: &in}}
--- a/internal/signalbox/manifest.go
+++ b/internal/signalbox/manifest.go
@@ -57,6 +57,9 @@
 	if err == nil {
 		err = b.checkSites(book)
 	}
+	if err == nil {
+		err = book.CheckOwn(newer, b.clock.Wall())
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/signalbox/sites.go
+++ b/internal/signalbox/sites.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -12,12 +13,19 @@
 	"ploverhitch/internal/telegram"
 )
 
+// layPeriod is how often the room of the sites is laid where no news says so.
+const layPeriod = time.Second
+
 // onReport hears a proxy, and answers with its lots.
 func (b *box) onReport(in telegram.Report, answer func(telegram.Lots)) {
 	c := b.conductor
 	c.loop.Offer(func() {
 		c.court.Hear(in.Evidence)
 		c.cells[in.Evidence.Node] = in.Cell
+		if c.isGauging() {
+			c.gauge.Hear(in.Evidence.Node, in.Loads)
+		}
+		c.hearCopies(in.Mirrored)
 		if c.isMaster() && c.tree != nil {
 			answer(telegram.Lots{Lots: c.office.Hear(in.Evidence.Node, c.tree.SiteOf("", in.Cell), in.Uses)})
 		}
@@ -26,9 +34,12 @@
 
 // layTree lays the tree and the room of its sites after a new reading.
 func (c *conductor) layTree() {
-	tree := c.tree
+	tree, now, isSame := c.tree, c.clock.Steady(), false
 	c.keeper.read(func(t *tables) {
-		if digest := t.bookDigest(); digest != c.treeOf {
+		digest := t.bookDigest()
+		// What is warming gets ready with no news.
+		isSame = digest == c.treeOf && c.officeTerm == c.term && c.laid == c.last.Reading() && time.Duration(now-c.laidAt) < layPeriod
+		if digest != c.treeOf {
 			// What was kept was checked; if cells have gone since, the old
 			// tree goes on.
 			if built, err := t.book.Tree(c.set.Load().Platform.Cells); err == nil {
@@ -37,10 +48,10 @@
 			c.treeOf = digest
 		}
 	})
-	if tree == nil {
+	if tree == nil || isSame {
 		return
 	}
-	c.tree = tree
+	c.tree, c.laid, c.laidAt = tree, c.last.Reading(), now
 	declared := map[branchline.Key]int{}
 	wall := c.clock.Wall()
 	for _, server := range c.last.Servers {
--- a/internal/signalbox/tables.go
+++ b/internal/signalbox/tables.go
@@ -3,8 +3,10 @@
 import (
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/roster"
+	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
 )
 
@@ -29,11 +31,16 @@
 	term     roster.Term
 	// fleet is kept so that a core that lost its power can tell at once which
 	// servers there were.
-	fleet     feed.Fleet
+	fleet feed.Fleet
+	// fleetAt is when the fleet was heard, 0 if it was read from the disk.
+	fleetAt   timetable.Steady
 	trials    map[string]trial.State
 	isTrusted bool
 	isEmpty   bool
 	digest    string
+	// tiers is the order of tiers of the book with the digest tiersOf.
+	tiers   *loadgauge.Order
+	tiersOf string
 }
 
 func newTables(policy ledger.Policy) *tables {
--- a/internal/standin/meter.go
+++ b/internal/standin/meter.go
@@ -81,3 +81,53 @@
 		_ = conn.Close()
 	}
 }
+
+// Slots bounds the server's work: so many inquiries at a time, and so many more
+// that wait; any further one is turned away.
+//
+// Example:
+//
+//	server.Slots(2, 8)
+func (s *Server) Slots(slots, queue int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.slots, s.queue = make(chan struct{}, slots), make(chan struct{}, slots+queue)
+}
+
+// enter waits for a slot, or tells that the server is full.
+func (s *Server) enter() (leave func(), isIn bool) {
+	s.lock.Lock()
+	slots, queue := s.slots, s.queue
+	s.lock.Unlock()
+	if slots == nil {
+		return func() {}, true
+	}
+	select {
+	case queue <- struct{}{}:
+	default:
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		s.arrivals++
+		return nil, false
+	}
+	slots <- struct{}{}
+	return func() { <-slots; <-queue }, true
+}
+
+// Sign lets the server's replies bear a name other than its own, as those of two
+// builds of one service do.
+//
+// Example:
+//
+//	server.Sign("lessons")
+func (s *Server) Sign(by string) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.by = by
+}
+
+func (s *Server) name() string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return or(s.by, s.ID)
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -33,7 +33,7 @@
 
 // Run is one inquiry that a server ran.
 type Run struct {
-	Attempt, Key, Target, Body, Instance, Deadline string
+	Attempt, Key, Target, Body, Instance, Deadline, Shadow string
 }
 
 // Server is a server of a service: it runs inquiries, seals its answers, and
@@ -52,6 +52,10 @@
 	work  time.Duration
 	meter *Meter
 	open  map[net.Conn]bool
+	// slots are for those at work and in the queue, and for those at work.
+	queue, slots chan struct{}
+	// by is what its replies are signed with.
+	by string
 }
 
 // NewServer starts a server on an address; port 0 takes a free one.
@@ -159,6 +163,7 @@
 		s.runs = append(s.runs, Run{
 			Attempt: r.Header.Get("Ploverhitch-Attempt-Id"), Key: r.Header.Get("Ploverhitch-Operation-Key"), Target: r.RequestURI,
 			Body: body, Instance: r.Header.Get("Ploverhitch-Target-Instance"), Deadline: r.Header.Get("Ploverhitch-Deadline-Ms"),
+			Shadow: r.Header.Get("Ploverhitch-Shadow"),
 		})
 	}
 	return act, s.held
@@ -187,9 +192,15 @@
 		}
 		id := r.Header.Get("Ploverhitch-Attempt-Id")
 		seal := "Ploverhitch-Server-Seal: seal-of-" + id + "\r\n"
-		body := "body of " + id + " by " + s.ID
+		leave, isIn := s.enter()
+		if !isIn {
+			write(conn, "503 Service Unavailable", id, "Ploverhitch-Not-Executed: 1\r\n", "")
+			continue
+		}
 		act, held := s.begin(r, string(text))
+		body := "body of " + id + " by " + s.name()
 		s.toil()
+		leave()
 		switch act {
 		case Shed, SilentShed:
 			if act == SilentShed {
--- a/internal/standin/town.go
+++ b/internal/standin/town.go
@@ -58,6 +58,17 @@
 	return t, nil
 }
 
+// Add starts one more server, which the next List tells of.
+//
+// Example:
+//
+//	err := town.Add("x-1", "lessons-next")
+func (t *Town) Add(id, service string) (err error) {
+	t.Servers[id], err = NewServer(id, "127.0.0.1:0")
+	t.services[id] = service
+	return err
+}
+
 // List lays the platform's list: every server, ready unless its id is given
 // with another state; the state "gone" leaves it out.
 //
--- a/internal/telegram/operator.go
+++ b/internal/telegram/operator.go
@@ -1,6 +1,9 @@
 package telegram
 
-import "ploverhitch/internal/shunt"
+import (
+	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/shunt"
+)
 
 // Moves is a proxy's reply to a shunt.Change: the operations of the service
 // that it runs, each with its home now and its home after the change.
@@ -51,4 +54,15 @@
 	Epoch   uint64 `cbor:"3,keyasint" json:"Epoch"`
 	IsReady bool   `cbor:"4,keyasint" json:"IsReady"`
 	Servers int    `cbor:"5,keyasint" json:"Servers"`
+	// Cutoff is the number of the newest cutoff that the proxy works by, 0 without
+	// one; IsFloor tells that it turns away by its own measure, without the core.
+	Cutoff  uint64 `cbor:"6,keyasint,omitempty" json:"Cutoff,omitempty"`
+	IsFloor bool   `cbor:"7,keyasint,omitempty" json:"IsFloor,omitempty"`
+}
+
+// Mirrored is what a proxy knows of its copies, in its present life.
+type Mirrored struct {
+	Node  string                   `cbor:"1,keyasint" json:"Node"`
+	Life  string                   `cbor:"2,keyasint" json:"Life"`
+	Pages map[string]loopline.Page `cbor:"3,keyasint,omitempty" json:"Pages"`
 }
--- a/internal/telegram/report.go
+++ b/internal/telegram/report.go
@@ -3,6 +3,8 @@
 import (
 	"ploverhitch/internal/branchline"
 	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/loopline"
 )
 
 // Report is what a proxy tells the holder of the duty: what it counted, where
@@ -11,6 +13,10 @@
 	Evidence hotbox.Report    `cbor:"1,keyasint"`
 	Cell     string           `cbor:"2,keyasint,omitempty"`
 	Uses     []branchline.Use `cbor:"3,keyasint,omitempty"`
+	// Loads are what the proxy counted of its load, Mirrored what of its copies,
+	// since the last report that arrived.
+	Loads    []loadgauge.Load `cbor:"4,keyasint,omitempty"`
+	Mirrored []loopline.Tally `cbor:"5,keyasint,omitempty"`
 }
 
 // Lots is the reply: how much of other sites' room the proxy may use.
--- a/internal/telegram/telegram.go
+++ b/internal/telegram/telegram.go
@@ -33,6 +33,7 @@
 	KindOrder
 	KindStage
 	KindEvidence
+	KindMirrored
 )
 
 // Reserve asks a core node for its vote, under the view's epoch.
--- /dev/null
+++ b/internal/telegraph/choose_test.go
@@ -0,0 +1,83 @@
+package telegraph
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/roster"
+	"ploverhitch/internal/settings"
+	"ploverhitch/internal/signal"
+	"ploverhitch/internal/timetable"
+)
+
+func TestTelegraph(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "telegraph")
+}
+
+func members(count int) (out []string) {
+	for number := range count {
+		out = append(out, fmt.Sprintf("10.0.0.%d:7200", number))
+	}
+	return out
+}
+
+func newDesk(node string, view roster.View) (*desk, *timetable.Hand) {
+	hand := &timetable.Hand{Now: time.Hour}
+	set := &settings.Settings{Platform: settings.Platform{NodeName: node, SeedNodes: []string{"10.0.9.1:8382"}, InternalPorts: []int{7200, 7215}}}
+	d := &desk{set: set, clock: hand, hub: feed.NewHub(), followers: map[string]*feed.Follower{}}
+	if view.Epoch > 0 {
+		d.hub.Publish(feed.News{View: &view})
+	}
+	return d, hand
+}
+
+var _ = Describe("whom a telegraph follows", func() {
+	It("is the seeds until it knows a view", func() {
+		d, _ := newDesk("edge-1", roster.View{})
+		Expect(d.wanted()).To(Equal(map[string]bool{"10.0.9.1:7200": true}))
+	})
+
+	It("meets every majority of the core, and all nodes together follow all members alike", func() {
+		for count := 1; count <= 9; count++ {
+			view, load := roster.View{Epoch: 1, Members: members(count)}, map[string]int{}
+			for number := range 300 {
+				d, _ := newDesk(fmt.Sprint("edge-", number), view)
+				wanted := d.wanted()
+				// Whoever is not followed is no majority.
+				Expect(len(wanted)).To(Equal(min(count, max(3, view.Majority()))))
+				Expect(count - len(wanted)).To(BeNumerically("<", view.Majority()))
+				for member := range wanted {
+					load[member]++
+				}
+			}
+			for _, member := range view.Members {
+				Expect(load[member]).To(BeNumerically(">", 300*len(view.Members)/len(view.Members)/4), "%d members", count)
+			}
+		}
+	})
+
+	It("has a spare for each that does not tell, for a while after, and the seeds if most are silent", func() {
+		view := roster.View{Epoch: 1, Members: members(5)}
+		d, hand := newDesk("edge-1", view)
+		order := roster.Followed(view.Members, "edge-1")
+		for _, member := range order[:3] {
+			d.followers[member] = feed.NewFollower("edge-1", signal.NewLine(member, time.Second, time.Second), func(feed.News) {}, time.Second)
+		}
+		// Just begun, none of them counts as ailing yet.
+		Expect(d.wanted()).To(HaveLen(3))
+		Eventually(func() int { return len(d.wanted()) }).Should(Equal(6))
+		Expect(d.wanted()).To(HaveKey("10.0.9.1:7200"))
+		for _, member := range order[:3] {
+			delete(d.followers, member)
+		}
+		Expect(d.wanted()).To(HaveLen(5))
+		hand.Now += wellSpan + time.Second
+		Expect(d.wanted()).To(HaveLen(3))
+	})
+})
--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -1,5 +1,5 @@
 // Package telegraph is the agent beside each proxy: it follows the feeds of
-// all core nodes, merges them, and feeds the proxy over loopback.
+// a majority of the core, merges them, and feeds the proxy over loopback.
 package telegraph
 
 import (
@@ -51,6 +51,11 @@
 	whole bool
 	note  Note
 	next  chan *settings.Settings
+	// spareFor is the epoch and spares how many members are followed beside the
+	// chosen; wellAt is since when all of the chosen have told.
+	spareFor roster.Epoch
+	spares   int
+	wellAt   timetable.Steady
 }
 
 // LoopbackAddress is where the telegraph of a machine feeds its proxy.
@@ -161,7 +166,8 @@
 	}
 }
 
-// tend follows every member of the view, and the seeds while no view is known.
+// tend follows the members that are chosen, and the seeds while no view is known
+// or too few of the members answer.
 func (d *desk) tend(ctx context.Context) {
 	select {
 	case d.set = <-d.next:
@@ -169,14 +175,7 @@
 	}
 	d.judge()
 	d.fill()
-	view := d.view()
-	wanted := map[string]bool{}
-	for _, member := range view.Members {
-		wanted[member] = true
-	}
-	for _, seed := range d.set.Platform.SeedNodes {
-		wanted[d.set.InternalAddress(seed, 0)] = true
-	}
+	wanted := d.wanted()
 	for address, cancel := range d.following {
 		if !wanted[address] {
 			cancel()
@@ -187,16 +186,19 @@
 		}
 	}
 	for address := range wanted {
-		if d.following[address] != nil {
-			continue
+		if d.following[address] == nil {
+			d.follow(ctx, address)
 		}
-		follow, cancel := context.WithCancel(ctx)
-		d.following[address] = cancel
-		line := signal.NewLine(address, connectSpan, silenceSpan)
-		d.lines[address] = line
-		name := d.set.Platform.NodeName + "@" + d.set.InternalAddress(d.set.Platform.Ip, 1)
-		follower := feed.NewFollower(name, line, func(news feed.News) { d.loop.Put(told{address, news}) }, followPause)
-		d.followers[address] = follower
-		go follower.Run(follow)
 	}
 }
+
+func (d *desk) follow(ctx context.Context, address string) {
+	follow, cancel := context.WithCancel(ctx)
+	d.following[address] = cancel
+	line := signal.NewLine(address, connectSpan, silenceSpan)
+	d.lines[address] = line
+	name := d.set.Platform.NodeName + "@" + d.set.InternalAddress(d.set.Platform.Ip, 1)
+	follower := feed.NewFollower(name, line, func(news feed.News) { d.loop.Put(told{address, news}) }, followPause)
+	d.followers[address] = follower
+	go follower.Run(follow)
+}
