--- a/internal/points/replay.go
+++ b/internal/points/replay.go
@@ -12,7 +12,6 @@
 	"ploverhitch/internal/derail"
 	"ploverhitch/internal/ledger"
 	"ploverhitch/internal/manifest"
-	"ploverhitch/internal/roster"
 	"ploverhitch/internal/telegram"
 	"ploverhitch/internal/timetable"
 )
@@ -25,11 +24,6 @@
 	round  *ledger.Round
 	// ungranted are the members whose vote is surely not ours to give back.
 	ungranted map[string]bool
-	// order is the members in the order of the key, under the view of the epoch;
-	// the first so many of them were asked.
-	epoch roster.Epoch
-	order []string
-	asked int
 }
 
 // decisions is the paper's replay matrix: from what the vote round came to, to
@@ -134,40 +128,27 @@
 	a.tell(a.intent, a.set.Load().Tuning.RecordWait.Std())
 }
 
-// tell records the intent with the members that were asked for their votes, and
-// waits until a majority has it on disk, or the span ends; where one of them is
-// late, the others are told too.
+// tell records the intent with every member, and waits until a majority has it
+// on disk, or the span ends.
 func (a *attempt) tell(intent ledger.Intent, wait time.Duration) {
 	a.recent.add(intent, a.clock.Steady(), timetable.Steady(a.set.Load().Platform.Bounds.Sync))
 	view := a.sight.Load().view
-	order, first := a.order, a.asked
-	if view.Epoch != a.epoch {
-		order, first = view.Members, len(view.Members)
-	}
-	kept := askMembers[telegram.Done](a.proxy, order, first, telegram.KindRecord, telegram.Record{Intent: intent})
-	defer kept.forget()
+	kept, forget := askMembers[telegram.Done](a.proxy, view, telegram.KindRecord, telegram.Record{Intent: intent})
+	defer forget()
 	if wait == 0 {
 		return
 	}
-	alarm, spare := time.NewTimer(wait), time.NewTimer(min(spareMost, wait/spareShare))
+	alarm := time.NewTimer(wait)
 	defer alarm.Stop()
-	defer spare.Stop()
-	for count := 0; count < view.Majority() && kept.open > 0; {
-		isLate := false
+	for count := 0; count < view.Majority(); {
 		select {
-		case done := <-kept.replies:
-			kept.open--
+		case done := <-kept:
 			if done.reply != nil && done.reply.OK {
 				count++
 			}
-		case <-spare.C:
-			isLate = true
 		case <-alarm.C:
 			return
 		}
-		if isLate || kept.open == 0 && count < view.Majority() {
-			kept.more(len(order))
-		}
 	}
 }
 
--- a/internal/points/resume.go
+++ b/internal/points/resume.go
@@ -39,13 +39,13 @@
 // it, or else nil.
 func (a *attempt) lookup() *ledger.Intent {
 	view := a.sight.Load().view
-	got := askMembers[telegram.Found](a.proxy, view.Members, len(view.Members), telegram.KindLookup, telegram.Lookup{Key: a.one.key})
-	defer got.forget()
+	got, forget := askMembers[telegram.Found](a.proxy, view, telegram.KindLookup, telegram.Lookup{Key: a.one.key})
+	defer forget()
 	alarm := time.NewTimer(resumeMargin)
 	defer alarm.Stop()
 	for range view.Members {
 		select {
-		case found := <-got.replies:
+		case found := <-got:
 			if found.reply != nil && found.reply.Intent != nil && found.reply.Intent.Reply != nil {
 				return found.reply.Intent
 			}
--- a/internal/points/vote.go
+++ b/internal/points/vote.go
@@ -9,38 +9,25 @@
 	"ploverhitch/internal/timetable"
 )
 
-// reserve asks the core for its votes: a majority first, the rest once one of
-// those asked is late or withholds its vote.
+// reserve asks every member of the core at once.
 func (a *attempt) reserve() ledger.Standing {
 	view := a.sight.Load().view
-	order, first := a.orderFor(view, a.one.key)
-	a.epoch, a.order, a.asked = view.Epoch, order, first
 	began, span := a.clock.Steady(), a.set.Load().Tuning.VoteSpan
 	a.round = ledger.NewRound(a.intent.Hash, max(1, len(view.Members)), began, timetable.Steady(span))
-	votes := askMembers[telegram.Vote](a.proxy, order, first, telegram.KindReserve, telegram.Reserve{Epoch: view.Epoch, Intent: a.intent})
-	defer votes.forget()
-	patience := min(span.Std(), time.Until(a.one.due), a.patience())
-	alarm, spare := time.NewTimer(patience), time.NewTimer(min(spareMost, patience/spareShare))
+	votes, forget := askMembers[telegram.Vote](a.proxy, view, telegram.KindReserve, telegram.Reserve{Epoch: view.Epoch, Intent: a.intent})
+	defer forget()
+	alarm := time.NewTimer(min(span.Std(), time.Until(a.one.due), a.patience()))
 	defer alarm.Stop()
-	defer spare.Stop()
-	for votes.open > 0 {
-		isLate := false
+	for range view.Members {
 		select {
-		case got := <-votes.replies:
-			votes.open--
+		case got := <-votes:
 			a.take(got)
-		case <-spare.C:
-			isLate = true
 		case <-alarm.C:
 			return a.round.Standing(began + timetable.Steady(span) + 1)
 		}
 		if standing := a.round.Standing(a.clock.Steady()); standing != ledger.Undecided {
 			return standing
 		}
-		if isLate || votes.open == 0 {
-			votes.more(len(order))
-			a.asked = len(order)
-		}
 	}
 	return a.round.Standing(began + timetable.Steady(span) + 1)
 }
@@ -51,9 +38,6 @@
 	voteShare  = 5
 	voteLeast  = 60 * time.Millisecond
 	voteMargin = 10 * time.Millisecond
-	// spareShare is the part of its patience for which a round spares the members
-	// that were not asked.
-	spareShare = 3
 )
 
 // patience is how long a round that comes to nothing may hold the client.
@@ -83,7 +67,7 @@
 // this proxy could have delivered it, so freeing them is safe.
 func (a *attempt) giveBack() {
 	a.intent.State = ledger.Released
-	for _, member := range a.order[:a.asked] {
+	for _, member := range a.sight.Load().view.Members {
 		if !a.ungranted[member] {
 			a.line(member).Send(telegram.KindRecord, telegram.Record{Intent: a.intent}, nil)
 		}
--- a/internal/signal/line.go
+++ b/internal/signal/line.go
@@ -36,8 +36,6 @@
 	retryAt time.Time
 	dialing bool
 	queued  []func()
-	// isDown: the last attempt to connect failed.
-	isDown bool
 }
 
 // NewLine makes a line; nothing is dialled yet.
@@ -138,17 +136,6 @@
 	}
 }
 
-// IsDown tells whether the last attempt to connect failed.
-//
-// Example:
-//
-//	if line.IsDown() { askAnotherFirst() }
-func (l *Line) IsDown() bool {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	return l.isDown
-}
-
 // Close ends the connection; the next call makes a new one.
 //
 // Example:
@@ -166,7 +153,7 @@
 	conn, err := Dial(l.Address, l.connect, l.silence)
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.dialing, l.isDown = false, err != nil
+	l.dialing = false
 	queued := l.queued
 	l.queued = nil
 	if err != nil {
