A checkpoint is written in pieces, and frames to many share their body

A checkpoint held three copies of the state at a time, and a feed's checkpoint was copied twice for each of 285 followers.

--- a/internal/ballast/ballast_test.go
+++ b/internal/ballast/ballast_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -55,7 +56,7 @@
 						for _, record := range offered {
 							all = append(all, []byte(record))
 						}
-						Expect(write(all)).To(Succeed())
+						Expect(write(slices.Values(all))).To(Succeed())
 					}
 				case draw >= 17:
 					// A loss of power, or only a kill: then all that was
@@ -89,7 +90,7 @@
 		Expect(log.Append([][]byte{[]byte("three")})).To(Succeed())
 		write, err := log.Roll()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(write([][]byte{[]byte("three")})).To(Succeed())
+		Expect(write(slices.Values([][]byte{[]byte("three")}))).To(Succeed())
 		log, read, err = open(disk)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(log.IsDamaged()).To(BeFalse())
@@ -105,7 +106,7 @@
 		write, err := log.Roll()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(log.Append([][]byte{[]byte("later")})).To(Succeed())
-		Expect(write([][]byte{[]byte("checkpoint")})).To(Succeed())
+		Expect(write(slices.Values([][]byte{[]byte("checkpoint")}))).To(Succeed())
 		_, read, err := open(disk)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read).To(Equal([]string{"checkpoint", "later"}))
--- a/internal/ballast/log.go
+++ b/internal/ballast/log.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"iter"
 	"sort"
 	"strings"
 	"sync"
@@ -197,8 +198,8 @@
 //
 //	write, err := log.Roll()
 //	records := tables.Records()
-//	go write(records)
-func (l *Log) Roll() (write func(records [][]byte) error, err error) {
+//	go write(slices.Values(records))
+func (l *Log) Roll() (write func(records iter.Seq[[]byte]) error, err error) {
 	if l.isTorn {
 		return nil, errors.NotValidf("checkpoint on a torn log")
 	}
@@ -209,16 +210,35 @@
 	l.lock.Lock()
 	l.grown = 0
 	l.lock.Unlock()
-	return func(records [][]byte) error { return l.checkpoint(number, records) }, nil
+	return func(records iter.Seq[[]byte]) error { return l.checkpoint(number, records) }, nil
 }
 
-func (l *Log) checkpoint(number uint64, records [][]byte) error {
+// pieceBytes is how much of a checkpoint is laid out at a time: all of it at once
+// would take as much memory again as the tables.
+const pieceBytes = 256 << 10
+
+func writeAll(file File, records iter.Seq[[]byte]) error {
+	text := make([]byte, 0, pieceBytes)
+	for record := range records {
+		if text = pack(text, [][]byte{record}); len(text) < pieceBytes {
+			continue
+		}
+		if _, err := file.Write(text); err != nil {
+			return err
+		}
+		text = text[:0]
+	}
+	_, err := file.Write(text)
+	return err
+}
+
+func (l *Log) checkpoint(number uint64, records iter.Seq[[]byte]) error {
 	name := checkpointName(number)
 	file, err := l.disk.Create(name + ".new")
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if _, err = file.Write(pack(nil, records)); err == nil {
+	if err = writeAll(file, records); err == nil {
 		err = file.Sync()
 	}
 	_ = file.Close()
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -41,6 +41,13 @@
 	return cbor.Marshal(plainNews(n))
 }
 
+// Packed is the news as it was written for all followers, or nil.
+//
+// Example:
+//
+//	frame := append(head, news.Packed()...)
+func (n News) Packed() []byte { return n.packed }
+
 // pack writes the news once, so that each follower costs a copy only.
 func (n News) pack() News {
 	n.packed = nil
--- a/internal/signal/frame.go
+++ b/internal/signal/frame.go
@@ -43,24 +43,45 @@
 	return f, cbor.Unmarshal(text, &f)
 }
 
-func packFrame(number uint64, kind Kind, body any) ([]byte, error) {
+// Packed is a body that is written already; frames to many share it.
+type Packed interface{ Packed() []byte }
+
+// packet is a frame on its way: its head, which is its own, and its body, which
+// other frames may share.
+type packet struct{ head, body []byte }
+
+func (p *packet) size() int { return len(p.head) + len(p.body) }
+
+func packFrame(number uint64, kind Kind, body any) (*packet, error) {
 	f := frame{Number: number, Kind: kind}
-	if body != nil {
+	var shared []byte
+	if packed, isPacked := body.(Packed); isPacked {
+		shared = packed.Packed()
+	}
+	if body != nil && shared == nil {
 		text, err := cbor.Marshal(body)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		f.Body = text
+		shared = text
 	}
 	text, err := cbor.Marshal(f)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if len(shared) > 0 {
+		// The map has one entry more, the body, which comes last.
+		text[0]++
+		text = append(text, bodyKey)
+	}
 	out := make([]byte, 4, 4+len(text))
-	binary.BigEndian.PutUint32(out, uint32(len(text)))
-	return append(out, text...), nil
+	binary.BigEndian.PutUint32(out, uint32(len(text)+len(shared)))
+	return &packet{append(out, text...), shared}, nil
 }
 
+// bodyKey is the frame's key for its body, as cbor writes it.
+const bodyKey = 3
+
 // Unpack reads a frame's body into out.
 //
 // Example:
@@ -107,12 +128,12 @@
 
 // outbox writes frames from a bounded inbox, many in one write.
 type outbox struct {
-	frames chan []byte
+	frames chan *packet
 	done   chan struct{}
 }
 
 func newOutbox(conn net.Conn, size int) *outbox {
-	box := &outbox{frames: make(chan []byte, size), done: make(chan struct{})}
+	box := &outbox{frames: make(chan *packet, size), done: make(chan struct{})}
 	go box.run(conn)
 	return box
 }
@@ -123,12 +144,12 @@
 		select {
 		case <-b.done:
 			return
-		case text := <-b.frames:
-			_, err := writer.Write(text)
+		case one := <-b.frames:
+			err := one.write(writer)
 			for more := true; more && err == nil; {
 				select {
-				case text = <-b.frames:
-					_, err = writer.Write(text)
+				case one = <-b.frames:
+					err = one.write(writer)
 				default:
 					more = false
 				}
@@ -144,10 +165,18 @@
 	}
 }
 
+func (p *packet) write(to io.Writer) error {
+	_, err := to.Write(p.head)
+	if err == nil && len(p.body) > 0 {
+		_, err = to.Write(p.body)
+	}
+	return err
+}
+
 // offer puts the frame, or closes the connection of a peer that does not read.
-func (b *outbox) offer(conn net.Conn, text []byte) bool {
+func (b *outbox) offer(conn net.Conn, one *packet) bool {
 	select {
-	case b.frames <- text:
+	case b.frames <- one:
 		return true
 	default:
 		_ = conn.Close()
--- a/internal/signal/line.go
+++ b/internal/signal/line.go
@@ -84,7 +84,7 @@
 	}
 	put := func() {
 		if l.Sent != nil {
-			l.Sent(len(text))
+			l.Sent(text.size())
 		}
 		if !l.box.offer(l.conn, text) {
 			drop()
--- a/internal/signalbox/keeper.go
+++ b/internal/signalbox/keeper.go
@@ -148,13 +148,14 @@
 		return
 	}
 	records := k.tables.records()
-	go func() {
-		texts := make([][]byte, 0, len(records))
+	texts := func(yield func([]byte) bool) {
 		for _, r := range records {
-			if text, err := cbor.Marshal(r); err == nil {
-				texts = append(texts, text)
+			if text, err := cbor.Marshal(r); err == nil && !yield(text) {
+				return
 			}
 		}
+	}
+	go func() {
 		if err := write(texts); err != nil {
 			k.fail(err)
 		}
