--- /dev/null
+++ b/cmd/gradient/main.go
@@ -0,0 +1,89 @@
+// Command gradient measures, on the machine it runs on, how the state and the work
+// of each role grow with the number of servers, lanes, proxies and keyed operations.
+// docs/CAPACITY.md is made from what it prints.
+//
+// Example:
+//
+//	go run ./cmd/gradient
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// measure is one slope: what is done at a size, and what came of it.
+type measure struct {
+	role, what string
+	sizes      []int
+	act        func(size int) result
+}
+
+// result is the bytes that a thing takes or sends, and how long one act lasts.
+type result struct {
+	bytes int
+	took  time.Duration
+}
+
+// repeated is how long one act lasts, of as many as fit into a short span.
+func repeated(act func()) time.Duration {
+	act()
+	began, count := time.Now(), 0
+	for time.Since(began) < 100*time.Millisecond {
+		act()
+		count++
+	}
+	return time.Since(began) / time.Duration(count)
+}
+
+// held is how much memory what make returns keeps alive.
+func held[T any](make func() T) (bytes int, kept T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept = make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return max(0, int(after.HeapAlloc)-int(before.HeapAlloc)), kept
+}
+
+// slope is the least squares slope of figures over sizes.
+func slope(sizes []int, figures []float64) float64 {
+	n, x, y, xx, xy := float64(len(sizes)), 0.0, 0.0, 0.0, 0.0
+	for i, size := range sizes {
+		s := float64(size)
+		x, y, xx, xy = x+s, y+figures[i], xx+s*s, xy+s*figures[i]
+	}
+	return (n*xy - x*y) / (n*xx - x*x)
+}
+
+func main() {
+	app := kingpin.New("gradient", "Measures how the state and work of each role grow with size.")
+	app.HelpFlag.Short('h')
+	only := app.Flag("only", "Measure only what has this in its name.").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	runtime.GOMAXPROCS(1)
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "ROLE\tWHAT\tSIZES\tBYTES\tTIME\tBYTES EACH\tTIME EACH")
+	for _, m := range measures() {
+		if !strings.Contains(m.role+" "+m.what, *only) {
+			continue
+		}
+		var bytes, times []float64
+		var texts, spans []string
+		for _, size := range m.sizes {
+			r := m.act(size)
+			bytes, times = append(bytes, float64(r.bytes)), append(times, float64(r.took))
+			texts, spans = append(texts, fmt.Sprint(r.bytes)), append(spans, r.took.Round(time.Microsecond/10).String())
+		}
+		fmt.Fprintf(table, "%s\t%s\t%v\t%s\t%s\t%.4g\t%v\n", m.role, m.what, m.sizes, strings.Join(texts, " "), strings.Join(spans, " "),
+			slope(m.sizes, bytes), time.Duration(slope(m.sizes, times)))
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/cmd/gradient/measures.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/manifest"
+	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/signal"
+	"ploverhitch/internal/timetable"
+)
+
+func measures() []measure {
+	servers, lanes := []int{500, 2000, 8000}, []int{200, 1000, 5000}
+	return []measure{
+		{"telegraph", "checkpoint of the fleet, by servers", servers, checkpoint},
+		{"telegraph", "change of all paces, by servers", servers, paces},
+		{"points", "yard laid, by servers (one in 100 new)", servers, yard},
+		{"points", "paces heard, by servers", servers, hear},
+		{"points", "manifest compiled, by lanes", lanes, compile},
+		{"signalbox", "manifest kept, by lanes", lanes, book},
+		{"signalbox", "intents kept for a keyed operation, by operations", []int{2000, 8000, 32000}, intents},
+		{"signalbox", "news written to followers, by followers", []int{100, 400, 1600}, followers},
+		{"holder", "reports heard, by proxies (12 servers each)", []int{100, 400, 1600}, reports},
+		{"holder", "cutoff decided, by proxies", []int{100, 400, 1600}, cutoff},
+	}
+}
+
+func fleetOf(count int, reading uint64, pace int) feed.Fleet {
+	fleet := feed.Fleet{Term: 1, Count: reading, Holder: "10.1.0.42:7200", Proxies: 100}
+	for id := range count {
+		fleet.Servers = append(fleet.Servers, feed.Server{
+			ID: fmt.Sprintf("i-%010x", id), Service: fmt.Sprint("service-", id%(count/32)), Address: fmt.Sprintf("10.%d.%d.%d:8080", id>>16&255, id>>8&255, id&255),
+			Cell: fmt.Sprint("cell-", id%20), Capacity: 2, IsReady: true, Revision: "v1", Pace: pace,
+		})
+	}
+	return fleet
+}
+
+func written(value any) int {
+	text, err := cbor.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return len(text)
+}
+
+func checkpoint(size int) result {
+	fleet := fleetOf(size, 1, 8)
+	return result{written(fleet), repeated(func() { written(fleet) })}
+}
+
+func paces(size int) result {
+	old, next := fleetOf(size, 1, 8), fleetOf(size, 2, 9)
+	return result{written(next.ChangeOf(old)), repeated(func() { old.With(next.ChangeOf(old)) })}
+}
+
+func yard(size int) result {
+	old, next := fleetOf(size, 1, 8), fleetOf(size, 2, 8)
+	for at := range next.Servers {
+		if at%100 == 0 {
+			next.Servers[at].ID += "x"
+		}
+	}
+	home := shunt.Home{Node: "edge-1", Cell: "cell-1", Set: 24}
+	bytes, laid := held(func() *shunt.Yard { return shunt.NewYard(home).Lay(old) })
+	return result{bytes, repeated(func() { laid.Lay(next) })}
+}
+
+func hear(size int) result {
+	old, next := fleetOf(size, 1, 8), fleetOf(size, 2, 9)
+	laid := shunt.NewYard(shunt.Home{Node: "edge-1", Cell: "cell-1", Set: 24}).Lay(old)
+	return result{0, repeated(func() { laid.Hear(next) })}
+}
+
+func bookOf(size int) manifest.Book {
+	var items []manifest.Item
+	for at := range size {
+		name := fmt.Sprint("lane-", at)
+		body, _ := json.Marshal(manifest.LaneSpec{
+			Name: name, PathPrefix: "/" + name + "/", LaneType: manifest.Safe, Timeout: timetable.Span(time.Second), TargetLatency: timetable.Span(time.Second),
+			Service: fmt.Sprint("service-", at%40), MaxAttempts: 2, Revision: 1,
+		})
+		items = append(items, manifest.Item{ID: manifest.ID{Class: manifest.LaneItem, Name: name}, Version: 1, Host: fmt.Sprint("h", at%400, ".example"), Body: body})
+	}
+	book := manifest.Book{}
+	book.Merge(items)
+	return book
+}
+
+func compile(size int) result {
+	book := bookOf(size)
+	bytes, _ := held(book.Compile)
+	return result{bytes, repeated(func() { book.Compile() })}
+}
+
+func book(size int) result {
+	bytes, kept := held(func() manifest.Book { return bookOf(size) })
+	return result{bytes, repeated(func() { kept.Digest() })}
+}
+
+func intents(size int) result {
+	body := make([]byte, 1500)
+	vote := func(voter *ledger.Voter, at int) {
+		name := fmt.Sprint("k-", at)
+		intent := ledger.Intent{Key: ledger.Key{Tenant: "h.example", Key: name}, Attempt: ledger.Attempt(name), Lane: "lane", Service: "fees", Reservation: name, CreatedMs: 1}
+		voter.Reserve(intent)
+		intent.State, intent.Reply = ledger.Completed, &ledger.Reply{Status: 200, Seal: "3e1b.07.5a2.600.0.c9f2a4d1", Body: append([]byte(nil), body...)}
+		entry, err := voter.Record(intent)
+		if err != nil {
+			panic(err)
+		}
+		written(entry)
+	}
+	var took time.Duration
+	bytes, _ := held(func() *ledger.Voter {
+		voter, began := ledger.NewVoter(ledger.Policy{KeyWindow: time.Minute}), time.Now()
+		for at := range size {
+			vote(voter, at)
+		}
+		took = time.Since(began)
+		return voter
+	})
+	return result{bytes, took}
+}
+
+func followers(size int) result {
+	fleet := fleetOf(1000, 1, 8)
+	hub := feed.NewHub()
+	hub.Publish(feed.News{Fleet: &fleet})
+	bytes := 0
+	follow, _ := cbor.Marshal(feed.Follow{Name: "edge"})
+	for range size {
+		hub.Handle(signal.Call{Body: follow, Ended: make(chan struct{}), Reply: func(news any) bool {
+			bytes += len(news.(feed.News).Packed())
+			return true
+		}})
+	}
+	bytes = 0
+	next := fleetOf(1000, 2, 9)
+	hub.Publish(feed.News{Fleet: &next})
+	sent := bytes
+	reading, pace := uint64(2), 8
+	return result{sent, repeated(func() {
+		reading, pace = reading+1, 17-pace
+		fleet := fleetOf(1000, reading, pace)
+		hub.Publish(feed.News{Fleet: &fleet})
+	})}
+}
+
+func reportOf(proxy int, number uint64) hotbox.Report {
+	report := hotbox.Report{Node: fmt.Sprint("edge-", proxy), Life: "a", Number: number}
+	for server := range 12 {
+		report.Servers = append(report.Servers, hotbox.ServerRow{ID: fmt.Sprintf("i-%010x", (proxy*7+server)%2000), Tally: hotbox.Tally{3}, Paces: 3, Paced: 3, Tried: 3})
+	}
+	return report
+}
+
+func reports(size int) result {
+	court, number := hotbox.NewCourt(timetable.Real()), uint64(0)
+	bytes := 0
+	for proxy := range size {
+		bytes += written(reportOf(proxy, 1))
+	}
+	return result{bytes, repeated(func() {
+		number++
+		for proxy := range size {
+			court.Hear(reportOf(proxy, number))
+		}
+		court.Tend()
+	})}
+}
+
+func cutoff(size int) result {
+	gauge := loadgauge.NewGauge(timetable.Real(), func() uint64 { return 1 })
+	loads := []loadgauge.Load{{Service: "a", Offered: 9, Sent: 9, Turned: 3}, {Service: "b", Tier: 1, Offered: 9, Sent: 9}}
+	return result{size * written(loads), repeated(func() {
+		for proxy := range size {
+			gauge.Hear(fmt.Sprint("edge-", proxy), loads)
+		}
+		gauge.Decide(func(string) float64 { return 1 })
+	})}
+}
--- a/internal/inspector/command.go
+++ b/internal/inspector/command.go
@@ -46,7 +46,7 @@
 	c.file = check.Flag("manifest", "A call of an operator that is to be sent; left out, the manifest in force is checked.").String()
 	moves := group.Command("moves", "Tells which running keyed operations and downloads a change of servers would move. Example: ploverhitch inspector --control 10.1.0.42:8382 moves --service fees --retire i-7f3a91c2")
 	c.service = moves.Flag("service", "The service whose servers change.").Required().String()
-	c.add = moves.Flag("add", "An instance that would come; may be repeated.").Strings()
+	c.add = moves.Flag("add", "An instance that would come, as ID or ID@CELL; may be repeated.").Strings()
 	c.retire = moves.Flag("retire", "An instance that would go; may be repeated.").Strings()
 	c.confirm = moves.Flag("confirm", "Wait so long for the change to be made, and compare what moved with what was told.").Duration()
 	sites := group.Command("sites", "Tells the tree of sites, their capacity and load, and who is passed where. Example: ploverhitch inspector --control 10.1.0.42:8382 sites --without tvm-a")
--- a/internal/inspector/moves.go
+++ b/internal/inspector/moves.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -122,7 +123,8 @@
 }
 
 func (f *Forecast) isMade(ring []string) bool {
-	for _, id := range f.Change.Add {
+	for _, text := range f.Change.Add {
+		id, _, _ := strings.Cut(text, "@")
 		if !slices.Contains(ring, id) {
 			return false
 		}
--- a/internal/shunt/choose.go
+++ b/internal/shunt/choose.go
@@ -98,13 +98,19 @@
 			isEnough := c.near+c.far >= nearSamples+farSamples && c.near > 0
 			return !isEnough && (left > 0 || c.best == nil)
 		})
-		if c.first != nil && c.firstCost <= c.least*homeFavor+float64(homeSlack) {
+		if c.near+c.far > 0 && c.firstCost <= c.least*homeFavor+float64(homeSlack) {
 			return c.first
 		}
-		return c.best
+		return c.orAny(stand)
 	}
 	draw(stand.near, func(siding *Siding) bool { c.look(siding); return c.near < nearSamples })
 	draw(stand.far, func(siding *Siding) bool { c.look(siding); return c.far < farSamples })
+	return c.orAny(stand)
+}
+
+// orAny is the best that was found; where none of those that the node keeps to could
+// well be taken, any other server of the service is looked at too.
+func (c *choice) orAny(stand *stand) *Siding {
 	if c.near+c.far == 0 {
 		draw(stand.list, func(siding *Siding) bool { c.look(siding); return c.near+c.far == 0 })
 	}
--- a/internal/shunt/ring.go
+++ b/internal/shunt/ring.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"sort"
 	"strconv"
+	"strings"
 )
 
 // Place is a place on a service's ring.
@@ -80,7 +81,8 @@
 }
 
 // Home is the server at which the ring places the operation, or nil. It depends
-// on the service's ready servers alone, so every node says the same.
+// on the service's ready servers, and where these are more than the node keeps to,
+// on the node.
 //
 // Example:
 //
@@ -108,7 +110,9 @@
 // Change is a change of servers that an operator is thinking about.
 type Change struct {
 	Service string `cbor:"1,keyasint" json:"Service"`
-	// Add names instances that would come, Retire those that would go.
+	// Add names instances that would come, as ID or ID@CELL, Retire those that
+	// would go. Of a service with more servers than a node keeps to, the cell
+	// decides which nodes take the new one up.
 	Add    []string `cbor:"2,keyasint,omitempty" json:"Add,omitempty"`
 	Retire []string `cbor:"3,keyasint,omitempty" json:"Retire,omitempty"`
 }
@@ -122,17 +126,18 @@
 //	isMoving := trial(place) != yard.Home(change.Service, place).ID
 func (y *Yard) Trial(change Change) (homeAfter func(Place) string) {
 	var list []*Siding
+	coming := map[string]bool{}
+	for _, text := range change.Add {
+		added := &Siding{learnt: &learnt{}}
+		added.ID, added.Cell, _ = strings.Cut(text, "@")
+		list, coming[added.ID] = append(list, added), true
+	}
 	for _, siding := range y.stand(change.Service).list {
-		if !contains(change.Retire, siding.ID) && !contains(change.Add, siding.ID) {
+		if !contains(change.Retire, siding.ID) && !coming[siding.ID] {
 			list = append(list, siding)
 		}
 	}
-	for _, id := range change.Add {
-		added := &Siding{learnt: &learnt{}}
-		added.ID = id
-		list = append(list, added)
-	}
-	trial := newRing(list)
+	trial := noStand.change(list, y.home).ring
 	return func(place Place) (id string) {
 		trial.walk(place, func(siding *Siding) bool {
 			id = siding.ID
--- a/internal/shunt/stand.go
+++ b/internal/shunt/stand.go
@@ -8,6 +8,7 @@
 // stand is the ready servers of one service.
 type stand struct {
 	list []*Siding
+	// ring is of those that the node keeps to: near and far.
 	ring ring
 	// near and far are the servers of the own cell and of the others to which
 	// the node keeps where no ring decides: few enough that its connections to
@@ -28,7 +29,7 @@
 	if slices.Equal(s.list, list) {
 		return s
 	}
-	next := &stand{list: list, ring: s.ring.change(s.list, list)}
+	next := &stand{list: list}
 	rank := map[string]Place{}
 	for _, siding := range list {
 		rank[siding.ID] = PlaceOf(home.Node, siding.ID)
@@ -41,10 +42,14 @@
 	if home.Set > 0 && len(list) > home.Set {
 		next.keep(home, rank)
 	}
+	next.ring = s.ring.change(s.kept(), next.kept())
 	next.most = max(s.most, capacity(next.near))
 	return next
 }
 
+// kept are the servers that the node keeps to.
+func (s *stand) kept() []*Siding { return slices.Concat(s.near, s.far) }
+
 func capacity(list []*Siding) (sum int) {
 	for _, siding := range list {
 		sum += siding.Capacity
