The retry budget's slack is shared by all proxies; keyed tiers wait only where full

Each node took a fortieth of the common slack for its own, and there are 71 of them, and 285 on the large sites. A node's part now follows the number of proxies. Test: the sum over 1 to 4,000 nodes.

The manifest's limits on header and idle time hold at the clients' connections.

--- a/internal/loadgauge/account.go
+++ b/internal/loadgauge/account.go
@@ -14,6 +14,7 @@
 	Sent    uint32 `json:"Sent"`
 	Turned  uint32 `json:"Turned"`
 	Late    uint32 `json:"Late"`
+	IsKeyed bool   `json:"IsKeyed"`
 }
 
 // Accounts are the windows of all services, by tier.
--- a/internal/loadgauge/clients_test.go
+++ b/internal/loadgauge/clients_test.go
@@ -43,13 +43,13 @@
 	tier := w.order.TierOf(c.lane)
 	isShed := false
 	if c.lane == "release" {
-		n.counter.Offer("s", tier, false)
+		n.counter.Offer("s", tier, true, false)
 		if isShed = !w.secure(c); isShed {
 			n.counter.Shed("s", tier)
 		}
 	} else {
 		isShed = w.verdict(n, c.lane, c.key)
-		n.counter.Offer("s", tier, isShed)
+		n.counter.Offer("s", tier, false, isShed)
 	}
 	if isShed {
 		w.refuse(c)
--- a/internal/loadgauge/column.go
+++ b/internal/loadgauge/column.go
@@ -25,7 +25,10 @@
 }
 
 // flow is what came in of one tier, and what of it went on to the servers.
-type flow struct{ offered, carried float64 }
+type flow struct {
+	offered, carried float64
+	isKeyed          bool
+}
 
 // flows sums what came in since a step, by tier.
 func (c *column) flows(from int64) (out []flow) {
@@ -36,6 +39,7 @@
 					out = append(out, flow{})
 				}
 				out[load.Tier].offered += float64(load.Offered)
+				out[load.Tier].isKeyed = out[load.Tier].isKeyed || load.IsKeyed
 				out[load.Tier].carried += max(0, float64(load.Offered)-float64(load.Shed))
 			}
 		}
@@ -80,14 +84,17 @@
 }
 
 // above is the cutoff that turns a share of what is carried away too, from the last
-// tier on.
-func (c *column) above(share float64, flows []flow) Cutoff {
+// tier on, and of keyed tiers only where the servers are full.
+func (c *column) above(share float64, flows []flow, isFull bool) Cutoff {
 	left := 0.0
 	for _, f := range flows {
 		left += share * f.carried
 	}
 	next := c.cutoff
 	for tier := min(int(next.Tier), len(flows)-1); tier >= 0; tier-- {
+		if flows[tier].isKeyed && !isFull {
+			return next
+		}
 		part := 0.0
 		if Tier(tier) == c.cutoff.Tier {
 			part = c.cutoff.Part
--- a/internal/loadgauge/counter.go
+++ b/internal/loadgauge/counter.go
@@ -62,12 +62,12 @@
 //
 // Example:
 //
-//	counter.Offer("fees", tier, isShed)
-func (c *Counter) Offer(service string, tier Tier, isShed bool) {
+//	counter.Offer("fees", tier, isKeyed, isShed)
+func (c *Counter) Offer(service string, tier Tier, isKeyed, isShed bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	row := c.row(service, tier)
-	row.Offered++
+	row.Offered, row.IsKeyed = row.Offered+1, isKeyed
 	if isShed {
 		row.Shed++
 	}
@@ -168,6 +168,7 @@
 			if isThere = a[i].Service == more.Service && a[i].Tier == more.Tier; isThere {
 				a[i].Offered, a[i].Shed, a[i].Sent = a[i].Offered+more.Offered, a[i].Shed+more.Shed, a[i].Sent+more.Sent
 				a[i].Turned, a[i].Late = a[i].Turned+more.Turned, a[i].Late+more.Late
+				a[i].IsKeyed = a[i].IsKeyed || more.IsKeyed
 				break
 			}
 		}
--- a/internal/loadgauge/gauge.go
+++ b/internal/loadgauge/gauge.go
@@ -21,6 +21,8 @@
 	Sent   uint32 `cbor:"5,keyasint,omitempty"`
 	Turned uint32 `cbor:"6,keyasint,omitempty"`
 	Late   uint32 `cbor:"7,keyasint,omitempty"`
+	// IsKeyed: its inquiries are keyed operations.
+	IsKeyed bool `cbor:"8,keyasint,omitempty"`
 }
 
 const (
@@ -198,8 +200,10 @@
 	if !c.isOn {
 		c.cutoff, most = Cutoff{Service: service, Seed: g.seed(), Tier: Tier(len(flows))}, firstMost
 	}
-	next := c.above(min(most, max(raiseLeast, t.turned/t.sent, t.late/t.sent/2)), flows)
-	if c.isOn && next.Height(len(flows)) <= c.cutoff.Height(len(flows)) {
+	// Keyed operations that are late are still better than refused ones.
+	isFull := t.turned > turnedMost*t.sent
+	next := c.above(min(most, max(raiseLeast, t.turned/t.sent, t.late/t.sent/2)), flows, isFull)
+	if next.Height(len(flows)) <= max(0, c.cutoff.Height(len(flows))) {
 		return false
 	}
 	c.isOn, c.isLowered, c.since, c.raisedAt = true, false, now, now
--- a/internal/loadgauge/loadgauge_test.go
+++ b/internal/loadgauge/loadgauge_test.go
@@ -220,6 +220,31 @@
 		}
 	})
 
+	It("is keyed operations that are late: they are refused only where servers are full", func() {
+		for _, isFull := range []bool{false, true} {
+			hand := &timetable.Hand{Now: time.Hour}
+			gauge := loadgauge.NewGauge(hand, func() uint64 { return 5 })
+			for range 40 {
+				hand.Now += 250 * time.Millisecond
+				load := loadgauge.Load{Service: "s", Offered: 100, Sent: 100, Late: 60, IsKeyed: true}
+				if isFull {
+					load.Late, load.Turned = 0, 60
+				}
+				gauge.Hear("a", []loadgauge.Load{load})
+				gauge.Decide(func(string) float64 { return 1 })
+			}
+			shed := 0
+			for _, cutoff := range gauge.Cutoffs() {
+				for number := range 1000 {
+					if cutoff.Sheds(0, "h", fmt.Sprint(number)) {
+						shed++
+					}
+				}
+			}
+			Expect(shed > 0).To(Equal(isFull))
+		}
+	})
+
 	It("never goes back to an older number when the holder changes", func() {
 		hand := &timetable.Hand{Now: time.Hour}
 		gauge := loadgauge.NewGauge(hand, func() uint64 { return 5 })
--- a/internal/manifest/sheet.go
+++ b/internal/manifest/sheet.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"sort"
 	"strings"
-	"time"
 
 	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/loopline"
@@ -196,15 +195,3 @@
 	}
 	return nil
 }
-
-// HeaderTimeout is how long a client's headers may take.
-//
-// Example:
-//
-//	server.ReadHeaderTimeout = sheet.HeaderTimeout()
-func (s *Sheet) HeaderTimeout() time.Duration {
-	if s.Limits.HeaderTimeout > 0 {
-		return s.Limits.HeaderTimeout.Std()
-	}
-	return 3 * time.Second
-}
--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -107,10 +107,11 @@
 //	err := points.Run(ctx, set, path, note)
 func Run(ctx context.Context, set *settings.Settings, path string, note Note) error {
 	p := newProxy(set, timetable.Real(), note)
-	front, err := net.Listen("tcp4", set.Platform.Bind.ClientHttp)
+	outer, err := net.Listen("tcp4", set.Platform.Bind.ClientHttp)
 	if err != nil {
 		return errors.Annotate(err, "client address")
 	}
+	clients := &front{outer.(*net.TCPListener), p.clientLimits}
 	ready, err := net.Listen("tcp4", set.Platform.Bind.Readiness)
 	if err != nil {
 		return errors.Annotate(err, "readiness address")
@@ -131,13 +132,13 @@
 	p.copyOn(inner)
 	server := &http.Server{
 		Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: headerSpan, IdleTimeout: idleSpan,
-		MaxHeaderBytes: headerCeiling,
+		MaxHeaderBytes: headerCeiling, ConnState: noteState,
 	}
 	go func() {
 		_ = (&http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerSpan}).Serve(ready)
 	}()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(front) }()
+	go func() { failed <- server.Serve(clients) }()
 	select {
 	case err := <-failed:
 		return errors.Trace(err)
@@ -146,6 +147,18 @@
 	return p.leave(server)
 }
 
+// clientLimits are how long clients may take for a header, and stay idle.
+func (p *proxy) clientLimits() (header, idle time.Duration) {
+	limits := p.sight.Load().sheet.Limits
+	if header = limits.HeaderTimeout.Std(); header == 0 {
+		header = headerSpan
+	}
+	if idle = limits.IdleTimeout.Std(); idle == 0 {
+		idle = idleSpan
+	}
+	return header, idle
+}
+
 func newProxy(set *settings.Settings, clock timetable.Clock, note Note) *proxy {
 	p := &proxy{
 		clock: clock, note: note, loop: timetable.NewLoop[feed.News](256), board: feed.NewBoard(),
@@ -228,12 +241,9 @@
 	budget := p.budgets[service]
 	if budget == nil {
 		bounds := p.set.Load().Platform.Bounds
-		budget = shunt.NewBudget(bounds.RetryBudgetRatio, bounds.RetryWindow.Std(), float64(bounds.RetrySlack)/slackShare, p.clock)
+		floor := func() float64 { return shunt.Floor(bounds.RetrySlack, p.sight.Load().proxies) }
+		budget = shunt.NewBudget(bounds.RetryBudgetRatio, bounds.RetryWindow.Std(), floor, p.clock)
 		p.budgets[service] = budget
 	}
 	return budget
 }
-
-// slackShare is the part of the common slack that one node takes at most: few
-// systems have as many proxies, and the rest is margin.
-const slackShare = 40
--- a/internal/points/shed.go
+++ b/internal/points/shed.go
@@ -67,7 +67,7 @@
 			isShed = isShed || cutoff.Service == one.service && cutoff.Sheds(tier, one.names()...)
 		}
 	}
-	p.gate.counter.Offer(one.service, tier, isShed)
+	p.gate.counter.Offer(one.service, tier, one.lane.LaneType == manifest.Idempotent, isShed)
 	if isShed {
 		return one.comeBack()
 	}
--- a/internal/shunt/budget.go
+++ b/internal/shunt/budget.go
@@ -14,7 +14,7 @@
 // sum keeps to it too, with no talk between nodes.
 type Budget struct {
 	ratio  float64
-	floor  float64
+	floor  func() float64
 	step   timetable.Steady
 	lock   sync.Mutex
 	at     int64
@@ -25,12 +25,29 @@
 
 const budgetSteps = 20
 
+const (
+	// slackPart is the part of the common slack that all nodes together may take;
+	// the rest is for nodes that have started anew and forgotten what they spent.
+	slackPart = 0.5
+	// proxiesLeast is how many nodes share it at least.
+	proxiesLeast = 20
+)
+
+// Floor is one node's part of the slack that all nodes have in common.
+//
+// Example:
+//
+//	floor := shunt.Floor(bounds.RetrySlack, fleet.Proxies)
+func Floor(slack, proxies int) float64 {
+	return slackPart * float64(slack) / float64(max(proxiesLeast, proxies))
+}
+
 // NewBudget makes a budget; floor is what may be spent whatever was asked.
 //
 // Example:
 //
-//	budget := shunt.NewBudget(0.2, 10*time.Second, 2, clock)
-func NewBudget(ratio float64, window time.Duration, floor float64, clock timetable.Clock) *Budget {
+//	budget := shunt.NewBudget(0.2, 10*time.Second, func() float64 { return shunt.Floor(64, 12) }, clock)
+func NewBudget(ratio float64, window time.Duration, floor func() float64, clock timetable.Clock) *Budget {
 	return &Budget{ratio: ratio, floor: floor, step: timetable.Steady(window) / (budgetSteps - 1), steady: clock.Steady}
 }
 
@@ -72,7 +89,7 @@
 	for i := range budgetSteps {
 		asked, spent = asked+b.asked[i], spent+b.spent[i]
 	}
-	if spent+1 > asked*b.ratio+b.floor {
+	if spent+1 > asked*b.ratio+b.floor() {
 		return false
 	}
 	b.spent[at]++
--- a/internal/shunt/shunt_test.go
+++ b/internal/shunt/shunt_test.go
@@ -19,11 +19,18 @@
 }
 
 var _ = Describe("the budget", func() {
+	It("leaves all nodes together under the common slack, however many they are", func() {
+		for _, proxies := range []int{1, 12, 71, 285, 4000} {
+			Expect(float64(proxies) * shunt.Floor(610, proxies)).To(BeNumerically("<=", 305.001))
+		}
+		Expect(shunt.Floor(64, 0)).To(BeNumerically("~", 1.6))
+	})
+
 	It("never lets the tries of any window pass its share of what was asked", func() {
 		const ratio, floor, window = 0.2, 2.0, 10 * time.Second
 		random := rand.New(rand.NewPCG(6, 6))
 		hand := &timetable.Hand{}
-		budget := shunt.NewBudget(ratio, window, floor, hand)
+		budget := shunt.NewBudget(ratio, window, func() float64 { return floor }, hand)
 		var asked, spent []time.Duration
 		within := func(times []time.Duration, from time.Duration) (count float64) {
 			for _, at := range times {
