--- a/internal/signalbox/platform.go
+++ b/internal/signalbox/platform.go
@@ -31,11 +31,11 @@
 }
 
 const (
-	listSpan     = 800 * time.Millisecond
-	failedPolls  = 4
+	listSpan    = 800 * time.Millisecond
+	failedPolls = 4
 	// pollLook is how often it is looked whether a reading is due: a reading waits
 	// for its rest and for no more.
-	pollLook = 100 * time.Millisecond
+	pollLook     = 100 * time.Millisecond
 	restAfterBad = 3 * time.Second
 )
 
