A checkpoint is synced piece by piece, with a rest between

A checkpoint of all intents was written at once; the keeper's syncs, and with them news and heartbeats, stood behind it.

--- a/internal/ballast/checkpoint.go
+++ b/internal/ballast/checkpoint.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -11,6 +12,10 @@
 // would take as much memory again as the tables.
 const pieceBytes = 256 << 10
 
+// pieceRest lies between two pieces, each synced by itself: the log's own syncs, on
+// which votes and news wait, would stand behind a checkpoint written at once.
+const pieceRest = 10 * time.Millisecond
+
 func writeAll(file File, records iter.Seq[[]byte]) error {
 	text := make([]byte, 0, pieceBytes)
 	for record := range records {
@@ -20,6 +25,10 @@
 		if _, err := file.Write(text); err != nil {
 			return err
 		}
+		if err := file.Sync(); err != nil {
+			return err
+		}
+		time.Sleep(pieceRest)
 		text = text[:0]
 	}
 	_, err := file.Write(text)
