--- a/internal/headway/track.go
+++ b/internal/headway/track.go
@@ -61,9 +61,9 @@
 	if t == nil || t.perByte == 0 {
 		return
 	}
-	t.take(float64(bytes))
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	t.hold(float64(bytes))
 	t.fade()
 	t.short += float64(bytes)
 }
@@ -127,6 +127,11 @@
 	}
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	return t.hold(bytes)
+}
+
+// hold takes the link for so many bytes; the lock is held.
+func (t *Track) hold(bytes float64) (wait timetable.Steady) {
 	now := t.clock.Steady()
 	start := max(t.free, now)
 	t.free = start + timetable.Steady(bytes*t.perByte)
--- a/internal/inspector/load.go
+++ b/internal/inspector/load.go
@@ -25,10 +25,7 @@
 //
 //	load, err := control.Load()
 func (c *Control) Load() (out Load, err error) {
-	if err = c.read("/v1/load", &out.LoadPage); err == nil && !out.IsHolder && out.Holder != "" {
-		err = c.readAt(out.Holder, "/v1/load", &out.LoadPage)
-	}
-	if err != nil {
+	if err = c.readAtHolder("/v1/load", &out.LoadPage, func() (bool, string) { return out.IsHolder, out.Holder }); err != nil {
 		return out, err
 	}
 	fleet, err := c.Fleet()
--- a/internal/inspector/sites.go
+++ b/internal/inspector/sites.go
@@ -19,19 +19,25 @@
 //
 //	page, err := control.Sites()
 func (c *Control) Sites() (page signalbox.SitePage, err error) {
-	if err = c.read("/v1/sites", &page); err != nil || page.IsHolder || page.Holder == "" {
-		return page, err
-	}
-	return page, c.readAt(page.Holder, "/v1/sites", &page)
+	return page, c.readAtHolder("/v1/sites", &page, func() (bool, string) { return page.IsHolder, page.Holder })
 }
 
-// readAt reads a page of another core node; on all machines the ports are alike.
-func (c *Control) readAt(member, path string, out any) error {
+// readAtHolder reads a page, and reads it again at the holder of the duty where the
+// first answer, which says who that is, came from another node. On all machines the
+// ports are alike.
+func (c *Control) readAtHolder(path string, out any, holder func() (isHolder bool, address string)) error {
+	if err := c.read(path, out); err != nil {
+		return err
+	}
+	isHolder, address := holder()
+	if isHolder || address == "" {
+		return nil
+	}
 	_, port, err := net.SplitHostPort(c.Address)
 	if err != nil {
 		return errors.Annotate(err, "control address")
 	}
-	host, _, _ := net.SplitHostPort(member)
+	host, _, _ := net.SplitHostPort(address)
 	return NewControl(net.JoinHostPort(host, port)).read(path, out)
 }
 
--- a/internal/manifest/own.go
+++ b/internal/manifest/own.go
@@ -104,10 +104,13 @@
 	Idempotent: loadgauge.Keyed, Unsafe: loadgauge.Once, Safe: loadgauge.Read, Download: loadgauge.Bulk,
 }
 
+// gaugeLane is what the order of tiers knows of a lane.
+func (l *LaneSpec) gaugeLane(host string) loadgauge.Lane {
+	return loadgauge.Lane{Name: l.Name, Host: host, Priority: l.Priority, Kind: gaugeKinds[l.LaneType]}
+}
+
 func (b Book) gaugeLanes() (out []loadgauge.Lane) {
-	b.eachLane(func(lane LaneSpec, host string) {
-		out = append(out, loadgauge.Lane{Name: lane.Name, Host: host, Priority: lane.Priority, Kind: gaugeKinds[lane.LaneType]})
-	})
+	b.eachLane(func(lane LaneSpec, host string) { out = append(out, lane.gaugeLane(host)) })
 	return out
 }
 
--- a/internal/manifest/sheet.go
+++ b/internal/manifest/sheet.go
@@ -107,9 +107,7 @@
 // layTiers gives every lane its place in the order of what is turned away.
 func (s *Sheet) layTiers() {
 	var lanes []loadgauge.Lane
-	s.each(func(lane *Lane) {
-		lanes = append(lanes, loadgauge.Lane{Name: lane.Name, Host: lane.Host, Priority: lane.Priority, Kind: gaugeKinds[lane.LaneType]})
-	})
+	s.each(func(lane *Lane) { lanes = append(lanes, lane.gaugeLane(lane.Host)) })
 	s.Order = loadgauge.Arrange(s.Plan, lanes)
 	s.each(func(lane *Lane) { lane.Tier = s.Order.TierOf(lane.Name) })
 }
--- a/internal/signalbox/gauge.go
+++ b/internal/signalbox/gauge.go
@@ -9,6 +9,7 @@
 	"ploverhitch/internal/ledger"
 	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/settings"
+	"ploverhitch/internal/timetable"
 )
 
 func (b *box) isGauging() bool { return b.set.Load().Tuning.Loadgauge == settings.GaugeOn }
@@ -21,7 +22,7 @@
 func (c *conductor) takeGauge() {
 	c.gauge = loadgauge.NewGauge(c.clock, rand.Uint64)
 	c.keeper.read(func(t *tables) {
-		if t.fleetAt > 0 && time.Duration(c.clock.Steady()-t.fleetAt) < heldSpan {
+		if t.isHeard(c.clock.Steady(), heldSpan) {
 			c.gauge.Hold(t.fleet.Cutoffs)
 		}
 	})
@@ -53,26 +54,18 @@
 // sheds tells whether this member refuses its vote for a new intent, as the
 // service is overloaded. An intent that exists is never asked about: its replay,
 // its resuming and its record go on.
-func (t *tables) sheds(wanted ledger.Intent, now time.Duration) bool {
-	if len(t.fleet.Cutoffs) == 0 || t.fleetAt == 0 || now-time.Duration(t.fleetAt) > feed.GrantSpan || t.voter.Find(wanted.Key) != nil {
+func (t *tables) sheds(wanted ledger.Intent, now timetable.Steady) bool {
+	if len(t.fleet.Cutoffs) == 0 || !t.isHeard(now, feed.GrantSpan) || t.voter.Find(wanted.Key) != nil {
 		return false
 	}
 	for _, cutoff := range t.fleet.Cutoffs {
-		if cutoff.Service == wanted.Service && cutoff.Sheds(t.order().TierOf(wanted.Lane), wanted.Key.Tenant, wanted.Key.Key) {
+		if cutoff.Service == wanted.Service && cutoff.Sheds(t.compiled().Order.TierOf(wanted.Lane), wanted.Key.Tenant, wanted.Key.Key) {
 			return true
 		}
 	}
 	return false
 }
 
-// order is the order of tiers that follows from this member's book.
-func (t *tables) order() *loadgauge.Order {
-	if digest := t.bookDigest(); t.tiers == nil || t.tiersOf != digest {
-		t.tiers, t.tiersOf = t.book.Compile().Order, digest
-	}
-	return t.tiers
-}
-
 // LoadPage is the order of tiers, the cutoffs in force, and, at the holder of the
 // duty, the load that they were decided on.
 type LoadPage struct {
@@ -93,8 +86,8 @@
 		}
 	})
 	b.keeper.read(func(t *tables) {
-		page.Order = append(page.Order, t.order().Rungs()...)
-		if t.fleetAt > 0 && time.Duration(b.clock.Steady()-t.fleetAt) <= feed.GrantSpan {
+		page.Order = append(page.Order, t.compiled().Order.Rungs()...)
+		if t.isHeard(b.clock.Steady(), feed.GrantSpan) {
 			page.Cutoffs = append(page.Cutoffs, t.fleet.Cutoffs...)
 		}
 	})
--- a/internal/signalbox/handlers.go
+++ b/internal/signalbox/handlers.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/ledger"
@@ -61,7 +60,7 @@
 			}
 			return nil
 		}
-		if t.sheds(in.Intent, time.Duration(b.clock.Steady())) {
+		if t.sheds(in.Intent, b.clock.Steady()) {
 			vote.Ballot.Verdict = ledger.Shed
 			return nil
 		}
--- a/internal/signalbox/mirrors.go
+++ b/internal/signalbox/mirrors.go
@@ -39,18 +39,17 @@
 func (c *conductor) mirrors() (out []loopline.Grant) {
 	var mirrors []loopline.Mirror
 	var versions []manifest.Version
-	var book manifest.Book
+	var sheet *manifest.Sheet
 	c.keeper.read(func(t *tables) {
-		if t.hasMirrors() {
-			mirrors, versions = t.book.Mirrors()
-			book = t.book.Clone()
+		if mirrors, versions = t.mirrorsNow(); len(mirrors) > 0 {
+			sheet = t.compiled()
 		}
 	})
 	if len(mirrors) == 0 {
 		clear(c.copying)
 		return nil
 	}
-	sheet, lives := book.Compile(), c.court.Lives(livesSpan, loopline.LifeOf)
+	lives := c.court.Lives(livesSpan, loopline.LifeOf)
 	known := map[string]bool{}
 	for i, m := range mirrors {
 		if !m.Until.After(c.clock.Wall()) || sheet.IsLive(m.Shadow) {
@@ -101,15 +100,6 @@
 	}
 }
 
-func (t *tables) hasMirrors() bool {
-	for id, item := range t.book {
-		if id.Class == manifest.MirrorItem && !item.Dropped {
-			return true
-		}
-	}
-	return false
-}
-
 // MirrorPage is the mirrors' grants in force, as the holder of the duty gives them.
 type MirrorPage struct {
 	Mirrors []loopline.Mirror `json:"Mirrors"`
@@ -125,7 +115,7 @@
 	mirrors, _ := book.Mirrors()
 	page.Mirrors = append(page.Mirrors, mirrors...)
 	b.keeper.read(func(t *tables) {
-		if t.fleetAt > 0 && time.Duration(b.clock.Steady()-t.fleetAt) <= feed.GrantSpan {
+		if t.isHeard(b.clock.Steady(), feed.GrantSpan) {
 			page.Grants = append(page.Grants, t.fleet.Mirrors...)
 		}
 	})
--- a/internal/signalbox/tables.go
+++ b/internal/signalbox/tables.go
@@ -1,9 +1,11 @@
 package signalbox
 
 import (
+	"time"
+
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/ledger"
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/roster"
 	"ploverhitch/internal/timetable"
@@ -38,9 +40,13 @@
 	isTrusted bool
 	isEmpty   bool
 	digest    string
-	// tiers is the order of tiers of the book with the digest tiersOf.
-	tiers   *loadgauge.Order
-	tiersOf string
+	// sheet is the compiled book of the digest sheetOf, mirrors and versions the
+	// orders to copy in that of mirrorsOf.
+	sheet     *manifest.Sheet
+	sheetOf   string
+	mirrors   []loopline.Mirror
+	versions  []manifest.Version
+	mirrorsOf string
 }
 
 func newTables(policy ledger.Policy) *tables {
@@ -72,6 +78,31 @@
 	}
 }
 
+// isHeard tells whether the fleet was heard within the span; one that was read from
+// the disk was not.
+func (t *tables) isHeard(now timetable.Steady, span time.Duration) bool {
+	return t.fleetAt > 0 && time.Duration(now-t.fleetAt) <= span
+}
+
+// compiled is the book made ready for reading; it is made again only where an item is
+// new.
+func (t *tables) compiled() *manifest.Sheet {
+	if digest := t.bookDigest(); t.sheet == nil || t.sheetOf != digest {
+		t.sheet, t.sheetOf = t.book.Compile(), digest
+	}
+	return t.sheet
+}
+
+// mirrorsNow are the orders to copy; the book is looked through only where an item is
+// new.
+func (t *tables) mirrorsNow() ([]loopline.Mirror, []manifest.Version) {
+	if digest := t.bookDigest(); t.mirrorsOf != digest {
+		t.mirrors, t.versions = t.book.Mirrors()
+		t.mirrorsOf = digest
+	}
+	return t.mirrors, t.versions
+}
+
 func (t *tables) merge(items []manifest.Item) (news []manifest.Item) {
 	if news = t.book.Merge(items); len(news) > 0 {
 		t.digest = ""
