Downloads are passed on as they come over narrow links; checkpoints by place in the view

A reply that breaks off breaks the client's connection, as long replies did before.

Connections to a shadow's servers that are gone are closed; the copier's loop is written once, in timetable.

--- a/internal/coupling/coupling_test.go
+++ b/internal/coupling/coupling_test.go
@@ -1,6 +1,7 @@
 package coupling_test
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"testing"
@@ -132,6 +133,34 @@
 		Expect(reply.Length).To(BeNumerically(">", 4))
 		reply.Finish(false)
 	})
+
+	It("hands a long success on as it comes, with an error where the server breaks off, and a failure whole", func() {
+		isPassedOn := func(order *coupling.Order) { order.PassOn = 4 }
+		reply, id, err := deliver(isPassedOn)
+		Expect(err).NotTo(HaveOccurred())
+		text, err := io.ReadAll(reply.Rest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(Equal("body of " + id + " by i-1"))
+		reply.Finish(true)
+
+		server.Next(standin.CutWithin)
+		reply, _, err = deliver(isPassedOn)
+		Expect(err).NotTo(HaveOccurred())
+		text, err = io.ReadAll(reply.Rest)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(len(text)).To(BeNumerically("<", reply.Length))
+		reply.Finish(false)
+
+		server.Next(standin.NoSeal, standin.Fail500)
+		_, _, err = deliver(isPassedOn)
+		Expect(errors.Is(err, coupling.ErrUnknown)).To(BeTrue())
+		reply, _, err = deliver(isPassedOn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Rest).To(BeNil())
+		// The connection of the whole one was used again, that of the broken one was not.
+		arrivals, conns := server.Counts()
+		Expect([]int{arrivals, conns}).To(Equal([]int{4, 3}))
+	})
 })
 
 var _ = Describe("the header rules", func() {
--- a/internal/coupling/hook.go
+++ b/internal/coupling/hook.go
@@ -13,7 +13,6 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
-	"ploverhitch/internal/headway"
 	"ploverhitch/internal/signal"
 )
 
@@ -117,7 +116,8 @@
 
 // receive reads the reply that carries the inquiry's id. A reply with another
 // id belongs to an earlier inquiry: it is passed over, never handed on.
-func (h *hook) receive(inquiry *Inquiry, buffer int64, in *headway.Track) (*Reply, error) {
+func (h *hook) receive(order Order) (*Reply, error) {
+	inquiry := order.Inquiry
 	method := &http.Request{Method: inquiry.Method}
 	for range surplusLimit {
 		response, err := http.ReadResponse(h.reader, method)
@@ -145,12 +145,12 @@
 			}
 			continue
 		}
-		return h.take(response, buffer, in)
+		return h.take(response, order)
 	}
 	return nil, errors.NotValidf("so many replies to other inquiries")
 }
 
-func (h *hook) take(response *http.Response, buffer int64, in *headway.Track) (*Reply, error) {
+func (h *hook) take(response *http.Response, order Order) (*Reply, error) {
 	reply := &Reply{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
 	h.isDone = h.isDone || response.Close
 	h.until = time.Now().Add(idleSpan(response.Header.Get("Keep-Alive")))
@@ -161,16 +161,17 @@
 	if response.Body == http.NoBody {
 		return reply, nil
 	}
-	from := in.Reader(response.Body, reply.Length, h.window())
-	if reply.Length > buffer {
+	from := order.In.Reader(response.Body, reply.Length, h.window())
+	isPassedOn := isSuccess && order.PassOn > 0 && reply.Length >= order.PassOn
+	if reply.Length > order.Buffer || isPassedOn {
 		reply.Rest = from
 		return reply, nil
 	}
-	body, err := readAll(from, reply.Length, buffer)
+	body, err := readAll(from, reply.Length, order.Buffer)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if reply.Body = body; int64(len(body)) > buffer {
+	if reply.Body = body; int64(len(body)) > order.Buffer {
 		reply.Rest = from
 	} else {
 		reply.Length = int64(len(body))
--- a/internal/coupling/rack.go
+++ b/internal/coupling/rack.go
@@ -31,7 +31,10 @@
 	// Last is how long to wait for the reply itself.
 	Last    time.Time
 	Connect time.Duration
-	Buffer  int64
+	// Buffer is up to which length a reply is checked whole before it is handed on.
+	Buffer int64
+	// PassOn, if set, is from which length on a success is handed on as it comes.
+	PassOn int64
 	// In and Out are the directions of the machine's link.
 	In, Out *headway.Track
 	// MaySend is asked immediately before the first byte is sent.
@@ -64,7 +67,7 @@
 		_ = h.conn.Close()
 		return nil, errors.WithType(err, ErrUnknown)
 	}
-	reply, err := h.receive(order.Inquiry, order.Buffer, order.In)
+	reply, err := h.receive(order)
 	if err != nil {
 		_ = h.conn.Close()
 		return nil, errors.WithType(err, ErrUnknown)
--- a/internal/headway/stream.go
+++ b/internal/headway/stream.go
@@ -2,8 +2,12 @@
 
 import "io"
 
-// bulkLeast is from which length on a reply is bulk.
-const bulkLeast = 12 << 10
+// BulkLeast is from which length on a reply is bulk.
+const BulkLeast = 12 << 10
+
+// afterMost is how much more than a window may follow on its heels: so little is
+// worth no wait.
+const afterMost = 8 << 10
 
 // reader reads bulk. A sender puts a whole window on its way before anything is
 // read; reading at once would let the next window follow on its heels, and what
@@ -28,18 +32,25 @@
 	switch {
 	case t == nil || t.perByte == 0 || length < 0:
 		return from
-	case length < bulkLeast:
+	case length < BulkLeast:
 		t.Note(int(length))
 		return from
 	}
 	burst := min(length, int64(window))
+	if length-burst <= afterMost {
+		burst = length
+	}
 	return &reader{from: from, track: t, burst: int(burst), coming: length - burst}
 }
 
 func (r *reader) Read(into []byte) (count int, err error) {
 	if !r.isBegun {
-		r.isBegun = true
-		r.track.Burst(r.burst)
+		if r.isBegun = true; r.coming > 0 {
+			r.track.Burst(r.burst)
+		} else {
+			// All of it is on its way, whether it is read now or later.
+			r.track.take(float64(r.burst))
+		}
 	}
 	if r.coming > 0 {
 		// What is read makes room for as much again.
@@ -53,6 +64,8 @@
 type writer struct {
 	to    io.Writer
 	track *Track
+	// isBulk: whatever is written is part of something long.
+	isBulk bool
 }
 
 // Writer writes a reply at the track's pace.
@@ -64,11 +77,23 @@
 	if t == nil || t.perByte == 0 {
 		return to
 	}
-	return &writer{to, t}
+	return &writer{to, t, false}
+}
+
+// BulkWriter writes at the track's pace what comes piece by piece of a long reply.
+//
+// Example:
+//
+//	_, err := io.Copy(out.BulkWriter(w), reply.Rest)
+func (t *Track) BulkWriter(to io.Writer) io.Writer {
+	if t == nil || t.perByte == 0 {
+		return to
+	}
+	return &writer{to, t, true}
 }
 
 func (w *writer) Write(text []byte) (written int, err error) {
-	if len(text) < bulkLeast {
+	if !w.isBulk && len(text) < BulkLeast {
 		w.track.Note(len(text))
 		return w.to.Write(text)
 	}
--- a/internal/headway/track.go
+++ b/internal/headway/track.go
@@ -29,8 +29,9 @@
 	wideLink = 200.0
 	// bulkShare is the part of the link that bulk may take.
 	bulkShare = 0.9
-	// ahead is how much of the link's time may be taken at once.
-	ahead = timetable.Steady(2 * time.Millisecond)
+	// ahead is how much of the link's time may be taken at once: as late as an alarm may
+	// ring, or the link stands idle between two pieces.
+	ahead = timetable.Steady(8 * time.Millisecond)
 	// shortFade is how fast short traffic fades from memory, shortMost the part of
 	// the link that it is thought to take at most.
 	shortFade = float64(time.Second)
@@ -84,6 +85,13 @@
 	return time.Duration(float64(bytes) * t.perByte / (bulkShare * (1 - short)))
 }
 
+// IsNarrow tells whether bulk has to wait for its turn on the track.
+//
+// Example:
+//
+//	if in.IsNarrow() { passOnAsItComes() }
+func (t *Track) IsNarrow() bool { return t != nil && t.perByte > 0 }
+
 // Pass lets a piece of bulk onto the track once there is room for it.
 //
 // Example:
--- a/internal/points/bulk.go
+++ b/internal/points/bulk.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"sync"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
 
+	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/derail"
 	"ploverhitch/internal/manifest"
 )
@@ -38,7 +41,28 @@
 		if !isTurn {
 			return nil, derail.New(derail.Busy, "the link")
 		}
-		defer end()
-		return next(ctx, request)
+		end = sync.OnceFunc(end)
+		reply, err := next(ctx, request)
+		if out, isReply := reply.(*coupling.Reply); isReply && out.Rest != nil {
+			// Its sender is answering until the rest has come.
+			out.Rest = &closing{out.Rest, end}
+			one.leave = func() { leave(); end() }
+			return reply, err
+		}
+		end()
+		return reply, err
+	}
+}
+
+// closing calls end once what it reads from is over.
+type closing struct {
+	io.Reader
+	end func()
+}
+
+func (c *closing) Read(into []byte) (count int, err error) {
+	if count, err = c.Reader.Read(into); err != nil {
+		c.end()
 	}
+	return count, err
 }
--- a/internal/points/copy.go
+++ b/internal/points/copy.go
@@ -12,21 +12,13 @@
 	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/timetable"
 )
 
 // copyOn works through the inbox until the context ends.
 func (p *proxy) copyOn(ctx context.Context) {
 	for range copyWorkers {
-		go func() {
-			for {
-				select {
-				case <-ctx.Done():
-					return
-				case job := <-p.copier.inbox:
-					p.copy(job)
-				}
-			}
-		}()
+		go timetable.Each(ctx, p.copier.inbox, p.copy)
 	}
 }
 
--- a/internal/points/deliver.go
+++ b/internal/points/deliver.go
@@ -12,7 +12,9 @@
 
 	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/derail"
+	"ploverhitch/internal/headway"
 	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/shunt"
 )
 
@@ -206,9 +208,14 @@
 	if !d.one.lane.IsRepeatable() {
 		late, buffer = lateKeyed, max(buffer, d.one.sight.sheet.Limits.MaxBodyBytes)
 	}
+	passOn := int64(0)
+	if d.one.lane.LaneType == manifest.Download && d.in.IsNarrow() {
+		// Checked whole first, it would take the link's time twice.
+		passOn = headway.BulkLeast
+	}
 	began := d.clock.Steady()
 	reply, err := siding.Rack.Deliver(coupling.Order{
-		Inquiry: d.one.Inquiry, Due: d.one.due, Last: d.one.due.Add(late), Connect: serverConnect, Buffer: buffer, MaySend: d.one.maySend, In: d.in, Out: d.out,
+		Inquiry: d.one.Inquiry, Due: d.one.due, Last: d.one.due.Add(late), Connect: serverConnect, Buffer: buffer, PassOn: passOn, MaySend: d.one.maySend, In: d.in, Out: d.out,
 	})
 	now := d.clock.Steady()
 	took := time.Duration(now - began)
--- a/internal/points/inquiry.go
+++ b/internal/points/inquiry.go
@@ -210,7 +210,7 @@
 	}
 	from := &watched{Reader: reply.Rest}
 	if err == nil {
-		_, err = io.Copy(to, from)
+		_, err = io.Copy(p.out.BulkWriter(w), from)
 	}
 	reply.Finish(err == nil)
 	return from.err != nil, err
--- a/internal/points/mirror.go
+++ b/internal/points/mirror.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ploverhitch/internal/coupling"
+	"ploverhitch/internal/feed"
 	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/manifest"
 	"ploverhitch/internal/shunt"
@@ -55,6 +56,27 @@
 	return &copier{inbox: make(chan copied, copyInbox), records: map[string]*loopline.Record{}, racks: map[string]*coupling.Rack{}}
 }
 
+// keep closes the connections to servers that no mirror copies to any longer.
+func (c *copier) keep(servers []feed.Server) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if len(c.racks) == 0 {
+		return
+	}
+	listed := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		listed[rackName(server)] = true
+	}
+	for name, rack := range c.racks {
+		if !listed[name] {
+			rack.Close()
+			delete(c.racks, name)
+		}
+	}
+}
+
+func rackName(server feed.Server) string { return server.ID + " " + server.Address }
+
 func (c *copier) record(name string) *loopline.Record {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -70,7 +92,7 @@
 func (c *copier) rack(server *shunt.Siding) *coupling.Rack {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	name := server.ID + " " + server.Address
+	name := rackName(server.Server)
 	rack := c.racks[name]
 	if rack == nil {
 		rack = &coupling.Rack{Address: server.Address, Instance: server.ID, Window: copyWindow}
--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -191,6 +191,7 @@
 		}
 		if fresh.Fleet != nil {
 			next.take(p.board.Fleet, p.clock.Steady())
+			p.copier.keep(next.servers)
 		}
 	}
 	if !isNew {
--- a/internal/signalbox/box.go
+++ b/internal/signalbox/box.go
@@ -120,8 +120,11 @@
 	if err != nil {
 		return err
 	}
-	b.keeper, err = openKeeper(disk, policy, b.clock, fail)
-	return errors.Annotate(err, "data folder")
+	if b.keeper, err = openKeeper(disk, policy, b.clock, fail); err != nil {
+		return errors.Annotate(err, "data folder")
+	}
+	b.keeper.self = b.self
+	return nil
 }
 
 // tableBytes is what the intents may take: a quarter of the memory, and of the
--- a/internal/signalbox/keeper.go
+++ b/internal/signalbox/keeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,6 +33,8 @@
 	unsaved [][]byte
 	pending []func()
 	fail    func(error)
+	// self is this node's name among the members.
+	self string
 }
 
 func openKeeper(disk ballast.Disk, policy ledger.Policy, clock timetable.Clock, fail func(error)) (*keeper, error) {
@@ -134,11 +137,22 @@
 		k.note(record{Entry: &entry})
 	}
 	k.flush()
-	if k.log.Grown() >= checkpointBytes && len(k.unsaved) == 0 {
+	view := k.tables.view
+	if k.log.Grown() >= checkpointAt(slices.Index(view.Members, k.self), len(view.Members)) && len(k.unsaved) == 0 {
 		k.checkpoint()
 	}
 }
 
+// checkpointAt is how large the log of the member at a place in the view may grow.
+// All members keep the same, so the places differ: checkpoints written at once would
+// hold up the syncs of a majority, and with them its votes and news.
+func checkpointAt(place, members int) int64 {
+	if place < 0 {
+		return checkpointBytes
+	}
+	return checkpointBytes - int64(checkpointBytes/2*place/members)
+}
+
 // checkpoint begins a new segment and writes, beside the loop, all that came
 // before it.
 func (k *keeper) checkpoint() {
--- a/internal/standin/meter.go
+++ b/internal/standin/meter.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -126,6 +127,25 @@
 	s.by = by
 }
 
+// Long makes the server's bodies longer by so many bytes.
+//
+// Example:
+//
+//	server.Long(60_000)
+func (s *Server) Long(bytes int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.long = bytes
+}
+
+// body is what the server says of an attempt.
+func (s *Server) body(attempt string) string {
+	s.lock.Lock()
+	long := s.long
+	s.lock.Unlock()
+	return "body of " + attempt + " by " + s.name() + strings.Repeat(".", long)
+}
+
 func (s *Server) name() string {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -56,6 +56,8 @@
 	queue, slots chan struct{}
 	// by is what its replies are signed with.
 	by string
+	// long is by how much its bodies are longer.
+	long int
 }
 
 // NewServer starts a server on an address; port 0 takes a free one.
@@ -198,7 +200,7 @@
 			continue
 		}
 		act, held := s.begin(r, string(text))
-		body := "body of " + id + " by " + s.name()
+		body := s.body(id)
 		s.toil()
 		leave()
 		switch act {
@@ -217,7 +219,7 @@
 		case CutBefore:
 			return
 		case CutWithin:
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: 900\r\n\r\npart", id, seal)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\npart", id, seal, 900+len(body))
 			return
 		case NoSeal:
 			seal = ""
--- a/internal/standin/town.go
+++ b/internal/standin/town.go
@@ -27,6 +27,8 @@
 	EdgeCells map[int]string
 	Revisions map[string]string
 	Extra     string
+	// LinkMbps is what the machines' links carry, if it is told.
+	LinkMbps float64
 	// Capacity is what servers declare, where that is not 2.
 	Capacity map[string]int
 }
@@ -147,13 +149,13 @@
   InternalPorts: [%d, %d]
   SeedNodes: [%q, %q, %q]
   Bootstrap: %t
-  Limits: {CpuShare: 1.0, MemoryMb: 280, MaxFds: 4096, DiskMb: 256}
+  Limits: {CpuShare: 1.0, MemoryMb: 280, MaxFds: 4096, DiskMb: 256, LinkMbps: %g}
   DataDir: %q
   FaultTolerance: {Machines: 1}
   Bounds: {Contact: "3000ms", Sync: "4s", Drain: "2500ms", Grace: "2s", ConfigApply: "2500ms", RetryBudgetRatio: 0.2, RetryWindow: "10s", RetrySlack: 64, KeyWindow: "60s", Ack: "4s", CanaryShare: 0.2, CanarySlack: 50, Rollback: "5s"}
   CloudApi: {Address: %q, RatePerS: 50, MaxLag: "800ms"}
 tuning: {beat: 100ms, silent_after: 400ms, poll: 50ms, log_level: error, loopback: %s%s}
-`, m.Name, m.Ip, or(m.Cell, "a"), bind, t.ports, t.ports+5, t.Control(1), t.Control(2), t.Control(3), isFirst, disk, t.Platform.Address(), strings.Replace(m.Ip, "127.0.2.", "127.0.3.", 1), t.Extra)
+`, m.Name, m.Ip, or(m.Cell, "a"), bind, t.ports, t.ports+5, t.Control(1), t.Control(2), t.Control(3), isFirst, t.LinkMbps, disk, t.Platform.Address(), strings.Replace(m.Ip, "127.0.2.", "127.0.3.", 1), t.Extra)
 	m.Settings = filepath.Join(t.Folder, m.Name+".yaml")
 	return m, os.WriteFile(m.Settings, []byte(text), 0o644)
 }
--- a/internal/timetable/loop.go
+++ b/internal/timetable/loop.go
@@ -87,6 +87,24 @@
 	}
 }
 
+// Each gives what an inbox holds to act, one after the other, until the context
+// ends. Several may share an inbox; one that must not wait offers to it, and drops
+// what it has no room for.
+//
+// Example:
+//
+//	go timetable.Each(ctx, inbox, send)
+func Each[T any](ctx context.Context, inbox <-chan T, act func(T)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case one := <-inbox:
+			act(one)
+		}
+	}
+}
+
 // Every calls act at once and then each period until the context ends.
 //
 // Example:
