--- a/internal/loadgauge/gauge.go
+++ b/internal/loadgauge/gauge.go
@@ -42,6 +42,9 @@
 	turnedMost = 0.03
 	lateMost   = 0.25
 	calmMost   = 0.02
+	// keyedMost is the share turned away above which keyed tiers are cut too: there,
+	// most of what a server does is to refuse.
+	keyedMost = 0.5
 	// leastSent is how much must have been sent in the window to judge by it.
 	leastSent = 20
 	// firstMost bounds the first raising, as a share of what was carried, and
@@ -200,8 +203,9 @@
 	if !c.isOn {
 		c.cutoff, most = Cutoff{Service: service, Seed: g.seed(), Tier: Tier(len(flows))}, firstMost
 	}
-	// Keyed operations that are late are still better than refused ones.
-	isFull := t.turned > turnedMost*t.sent
+	// Keyed operations that come late, or that a server turns away now and then, are
+	// still better than ones that every node refuses until the cutoff falls.
+	isFull := t.turned > keyedMost*t.sent
 	next := c.above(min(most, max(raiseLeast, t.turned/t.sent, t.late/t.sent/2)), flows, isFull)
 	if next.Height(len(flows)) <= max(0, c.cutoff.Height(len(flows))) {
 		return false
