--- a/cmd/gradient/main.go
+++ b/cmd/gradient/main.go
@@ -67,7 +67,14 @@
 	app := kingpin.New("gradient", "Measures how the state and work of each role grow with size.")
 	app.HelpFlag.Short('h')
 	only := app.Flag("only", "Measure only what has this in its name.").String()
+	through := app.Flag("through", "Measure instead what this proxy's client address adds, as modelrailway prints it.").PlaceHolder("HOST:PORT").String()
+	direct := app.Flag("direct", "The address of a server behind it.").PlaceHolder("HOST:PORT").String()
+	count := app.Flag("count", "How many inquiries to send each way.").Default("5000").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *through != "" {
+		app.FatalIfError(addedDelay(*through, *direct, max(100, *count)), "the added delay")
+		return
+	}
 	runtime.GOMAXPROCS(1)
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(table, "ROLE\tWHAT\tSIZES\tBYTES\tTIME\tBYTES EACH\tTIME EACH")
--- a/cmd/modelrailway/main.go
+++ b/cmd/modelrailway/main.go
@@ -73,7 +73,8 @@
 		"  curl -s -H 'Host: h.example' -H 'Ploverhitch-Attempt-Id: a1' http://%[1]s/read/hello\n"+
 		"  curl -s -H 'Host: h.example' -H 'Ploverhitch-Attempt-Id: a2' -H 'Ploverhitch-Operation-Key: k1' -d seat=7 http://%[1]s/fee/enrol\n"+
 		"  curl -s http://%[2]s/v1/status\n"+
-		"  target/ploverhitch inspector --control %[2]s check\n", edge.Front, town.Control(1))
+		"  target/ploverhitch inspector --control %[2]s check\n"+
+		"  go run ./cmd/gradient --through %[1]s --direct %[3]s\n", edge.Front, town.Control(1), town.Servers["l-1"].Address())
 	<-ctx.Done()
 	return nil
 }
