--- a/internal/loadgauge/calm_test.go
+++ b/internal/loadgauge/calm_test.go
@@ -31,16 +31,13 @@
 		}
 	})
 
-	It("is keyed operations that are late: they are refused only where servers are full", func() {
-		for _, isFull := range []bool{false, true} {
+	It("is keyed operations that are late, or turned away now and then: they are refused only where servers turn most away", func() {
+		for turned, isRefused := range map[uint32]bool{0: false, 20: false, 45: false, 60: true} {
 			hand := &timetable.Hand{Now: time.Hour}
 			gauge := loadgauge.NewGauge(hand, func() uint64 { return 5 })
 			for range 40 {
 				hand.Now += 250 * time.Millisecond
-				load := loadgauge.Load{Service: "s", Offered: 100, Sent: 100, Late: 60, IsKeyed: true}
-				if isFull {
-					load.Late, load.Turned = 0, 60
-				}
+				load := loadgauge.Load{Service: "s", Offered: 100, Sent: 100, Late: 60 - turned, Turned: turned, IsKeyed: true}
 				gauge.Hear("a", []loadgauge.Load{load})
 				gauge.Decide(func(string) float64 { return 1 })
 			}
@@ -52,7 +49,7 @@
 					}
 				}
 			}
-			Expect(shed > 0).To(Equal(isFull))
+			Expect(shed > 0).To(Equal(isRefused), "%d turned away", turned)
 		}
 	})
 
