Tests that mutations asked for: the last look before a copy, late ends of open keys

A copy sent though the order had lapsed or its service had become live, a key freed after its first connection broke late, and another inquiry under an open key answered as in work.

--- a/internal/points/mirror_test.go
+++ b/internal/points/mirror_test.go
@@ -1,13 +1,19 @@
 package points
 
 import (
+	"encoding/json"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"ploverhitch/internal/feed"
+	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/manifest"
+	"ploverhitch/internal/settings"
 	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/timetable"
 )
 
 func TestPoints(t *testing.T) {
@@ -33,3 +39,38 @@
 		Expect(c.rack(&shunt.Siding{Server: one})).NotTo(BeIdenticalTo(racks["x-1"]))
 	})
 })
+
+var _ = Describe("the last look before a copy is sent", func() {
+	// sightOf is what a node knows: where x-1 is listed, under which service, the
+	// order granted, and which service the one lane delivers to.
+	sightOf := func(address, service string, isReady bool, version uint64, live string) *sight {
+		body, err := json.Marshal(manifest.LaneSpec{Name: "fee", PathPrefix: "/fee/", LaneType: manifest.Safe, Service: live, MaxAttempts: 1, Revision: 1})
+		Expect(err).NotTo(HaveOccurred())
+		book := manifest.Book{}
+		book.Merge([]manifest.Item{{ID: manifest.ID{Class: manifest.LaneItem, Name: "fee"}, Version: 1, Host: "h", Body: body}})
+		fleet := feed.Fleet{Term: 1, Count: 1, Servers: []feed.Server{{ID: "x-1", Service: service, Address: address, Capacity: 2, IsReady: isReady}}}
+		return &sight{
+			sheet: book.Compile(), yard: shunt.NewYard(shunt.Home{Node: "n"}).Lay(fleet), heard: timetable.Steady(time.Hour),
+			mirrors: []loopline.Grant{{Name: "build", Version: version, Share: 1}},
+		}
+	}
+
+	It("lets it go only to a listed server of a shadow that nothing live delivers to, under an order that holds", func() {
+		hand := &timetable.Hand{Now: time.Hour}
+		p := newProxy(&settings.Settings{}, hand, func(string, string, ...any) {})
+		mirror := &manifest.Mirror{Mirror: loopline.Mirror{Name: "build", Shadow: "next"}, Version: 3}
+		server := &shunt.Siding{Server: feed.Server{ID: "x-1", Service: "next", Address: "a:1", IsReady: true}}
+		may := func(s *sight) bool { p.sight.Store(s); return p.mayCopy(mirror, server) }
+		Expect(may(sightOf("a:1", "next", true, 3, "fees"))).To(BeTrue())
+		Expect(may(sightOf("a:9", "next", true, 3, "fees"))).To(BeFalse(), "the address is another's")
+		Expect(may(sightOf("a:1", "fees", true, 3, "fees"))).To(BeFalse(), "the server is a live one")
+		Expect(may(sightOf("a:1", "next", false, 3, "fees"))).To(BeFalse(), "the server is leaving")
+		Expect(may(sightOf("a:1", "next", true, 2, "fees"))).To(BeFalse(), "the order is an older one")
+		Expect(may(sightOf("a:1", "next", true, 3, "next"))).To(BeFalse(), "a lane delivers to the shadow")
+		server.ID = "x-2"
+		Expect(may(sightOf("a:1", "next", true, 3, "fees"))).To(BeFalse(), "the server is not listed")
+		server.ID = "x-1"
+		hand.Now += feed.GrantSpan + time.Millisecond
+		Expect(may(sightOf("a:1", "next", true, 3, "fees"))).To(BeFalse(), "the grant has lapsed")
+	})
+})
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -29,6 +29,8 @@
 	Silent
 	// SilentShed is silent first, and then turns the inquiry away.
 	SilentShed
+	// SilentCut is silent first, and then breaks the connection.
+	SilentCut
 )
 
 // Run is one inquiry that a server ran.
@@ -216,6 +218,9 @@
 		case Fail500:
 			write(conn, "500 Internal Server Error", id, seal, "")
 			continue
+		case SilentCut:
+			<-held
+			return
 		case CutBefore:
 			return
 		case CutWithin:
