--- /dev/null
+++ b/internal/signalbox/member_test.go
@@ -0,0 +1,107 @@
+package signalbox
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/ballast"
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/manifest"
+	"ploverhitch/internal/roster"
+	"ploverhitch/internal/telegram"
+	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/trial"
+)
+
+var _ = Describe("what a member of the core refuses", func() {
+	var b *box
+	var hand *timetable.Hand
+	view := roster.View{Epoch: 3, Members: []string{"a", "b", "c"}}
+
+	BeforeEach(func() {
+		hand = &timetable.Hand{Now: time.Hour}
+		b = &box{self: "a", clock: hand, hub: feed.NewHub(), note: func(string, string, ...any) {}}
+		disk, err := ballast.Folder(GinkgoT().TempDir())
+		Expect(err).NotTo(HaveOccurred())
+		b.keeper, err = openKeeper(disk, ledger.Policy{OpenLimit: 10, KeyWindow: time.Minute}, hand, func(err error) { Expect(err).NotTo(HaveOccurred()) })
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go b.keeper.run(ctx)
+		b.adopt(view)
+	})
+
+	vote := func(epoch roster.Epoch, key string) ledger.Verdict {
+		got := make(chan telegram.Vote, 1)
+		b.onReserve(telegram.Reserve{Epoch: epoch, Intent: ledger.Intent{
+			Key: ledger.Key{Tenant: "h", Key: key}, Attempt: ledger.Attempt("of " + key), Lane: "fee", Service: "fees", Reservation: key,
+		}}, func(vote telegram.Vote) { got <- vote })
+		return (<-got).Ballot.Verdict
+	}
+	done := func(call func(func(telegram.Done))) bool {
+		got := make(chan telegram.Done, 1)
+		call(func(done telegram.Done) { got <- done })
+		return (<-got).OK
+	}
+	claim := func(number uint64) bool {
+		return done(func(answer func(telegram.Done)) { b.onClaim(roster.Term{Number: number, Holder: "b"}, answer) })
+	}
+	tell := func(fleet feed.Fleet) bool {
+		return done(func(answer func(telegram.Done)) { b.onFleet(fleet, answer) })
+	}
+	write := func(term uint64, epoch roster.Epoch) bool {
+		return done(func(answer func(telegram.Done)) {
+			b.onTrial(telegram.Trial{Epoch: epoch, State: trial.State{Subject: "fees", Number: 1, Term: term, Count: 1}}, answer)
+		})
+	}
+
+	It("is any vote while it is not trusted, or under another epoch", func() {
+		Expect(vote(3, "k")).To(Equal(ledger.Refused))
+		b.trust()
+		Expect(vote(2, "k")).To(Equal(ledger.Refused))
+		Expect(vote(4, "k")).To(Equal(ledger.Refused))
+		Expect(vote(3, "k")).To(Equal(ledger.Granted))
+		b.distrust()
+		Expect(vote(3, "l")).To(Equal(ledger.Refused))
+	})
+
+	It("is a claim that is no higher than its fence, and whatever an older holder still says", func() {
+		Expect(claim(7)).To(BeFalse(), "it is not trusted yet")
+		b.trust()
+		Expect(claim(7)).To(BeTrue())
+		Expect(claim(7)).To(BeFalse())
+		Expect(claim(6)).To(BeFalse())
+		Expect(tell(feed.Fleet{Term: 6, Count: 9, Holder: "old"})).To(BeFalse())
+		Expect(tell(feed.Fleet{Term: 7, Count: 1, Holder: "new"})).To(BeTrue())
+		Expect(b.fleet().Holder).To(Equal("new"))
+		// A change of a reading that it does not hold is of no use to it.
+		Expect(tell(feed.Fleet{Term: 7, Count: 5, Holder: "later", Since: &feed.Reading{Term: 7, Count: 4}})).To(BeFalse())
+		Expect(b.fleet().Holder).To(Equal("new"))
+		Expect(write(6, 3)).To(BeFalse())
+		Expect(write(7, 2)).To(BeFalse())
+		Expect(write(7, 3)).To(BeTrue())
+	})
+
+	It("is a new intent that the cutoff in force turns away, never one that it holds, and none once the cutoff lapsed", func() {
+		b.trust()
+		body, err := json.Marshal(manifest.LaneSpec{Name: "fee", PathPrefix: "/fee/", LaneType: manifest.Idempotent, Service: "fees", MaxAttempts: 1, Revision: 1})
+		Expect(err).NotTo(HaveOccurred())
+		b.store([]manifest.Item{{ID: manifest.ID{Class: manifest.LaneItem, Name: "fee"}, Version: 1, Host: "h", Body: body}}, func() {})
+		Expect(vote(3, "old")).To(Equal(ledger.Granted))
+		cutoff := loadgauge.Cutoff{Service: "fees", Number: 1, Seed: 5, Tier: 0, Part: 1}
+		Expect(tell(feed.Fleet{Term: 1, Count: 1, Cutoffs: []loadgauge.Cutoff{cutoff}})).To(BeTrue())
+		Expect(vote(3, "new")).To(Equal(ledger.Shed))
+		Expect(vote(3, "old")).To(Equal(ledger.Granted), "the attempt's own vote stands")
+		var held *ledger.Intent
+		b.keeper.read(func(t *tables) { held = t.voter.Find(ledger.Key{Tenant: "h", Key: "new"}) })
+		Expect(held).To(BeNil(), "a refusal keeps nothing")
+		hand.Now += feed.GrantSpan + time.Millisecond
+		Expect(vote(3, "new")).To(Equal(ledger.Granted))
+	})
+})
