--- /dev/null
+++ b/internal/points/replay_test.go
@@ -0,0 +1,67 @@
+package points
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/coupling"
+	"ploverhitch/internal/derail"
+	"ploverhitch/internal/ledger"
+	"ploverhitch/internal/manifest"
+	"ploverhitch/internal/settings"
+	"ploverhitch/internal/standin"
+	"ploverhitch/internal/timetable"
+)
+
+var _ = Describe("a proxy that its machine froze", func() {
+	// try wins a round, stands still for so long after that, and then delivers.
+	try := func(frozen time.Duration) (runs int, state ledger.State, err error) {
+		server, err := standin.NewServer("i-1", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer server.Close()
+		rack := &coupling.Rack{Address: server.Address(), Instance: "i-1"}
+		defer rack.Close()
+		hand := &timetable.Hand{Now: time.Hour}
+		p := newProxy(&settings.Settings{}, hand, func(string, string, ...any) {})
+		one := &inquiry{
+			Inquiry: &coupling.Inquiry{Method: "POST", Target: "/fee/", Host: "h", Header: http.Header{coupling.HeaderAttempt: {"t"}}, Attempt: "t"},
+			lane:    &manifest.Lane{}, sight: p.sight.Load(),
+		}
+		a := &attempt{proxy: p, one: one, ungranted: map[string]bool{}}
+		a.intent = ledger.Intent{Key: ledger.Key{Tenant: "h", Key: "k"}, State: ledger.Reserved}
+		a.round = ledger.NewRound(a.intent.Hash, 3, hand.Steady(), timetable.Steady(250*time.Millisecond))
+		for range 2 {
+			a.round.On(&ledger.Ballot{Verdict: ledger.Granted})
+		}
+		Expect(a.round.Standing(hand.Steady())).To(Equal(ledger.Won))
+		_, err = a.forward(context.Background(), func(context.Context, any) (any, error) {
+			hand.Now += frozen
+			due := time.Now().Add(5 * time.Second)
+			reply, err := rack.Deliver(coupling.Order{Inquiry: one.Inquiry, Due: due, Last: due, Connect: time.Second, Buffer: 1 << 20, MaySend: one.maySend})
+			if errors.Is(err, coupling.ErrNotSent) {
+				return nil, derail.New(derail.NotExecuted, "")
+			}
+			return reply, err
+		})
+		return len(server.Runs()), a.intent.State, err
+	}
+
+	It("delivers while its votes hold, and records the reply", func() {
+		runs, state, err := try(250 * time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(runs).To(Equal(1))
+		Expect(state).To(Equal(ledger.Completed))
+	})
+
+	It("delivers nothing once they lapsed, and gives them back", func() {
+		runs, state, err := try(251 * time.Millisecond)
+		Expect(err).To(HaveOccurred())
+		Expect(runs).To(BeZero())
+		Expect(state).To(Equal(ledger.Released))
+	})
+})
