--- a/internal/points/mirror.go
+++ b/internal/points/mirror.go
@@ -56,7 +56,7 @@
 	return &copier{inbox: make(chan copied, copyInbox), records: map[string]*loopline.Record{}, racks: map[string]*coupling.Rack{}}
 }
 
-// keep closes the connections to servers that no mirror copies to any longer.
+// keep closes the connections to servers that are no longer listed under their address.
 func (c *copier) keep(servers []feed.Server) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
