--- a/internal/loadgauge/column.go
+++ b/internal/loadgauge/column.go
@@ -84,15 +84,15 @@
 }
 
 // above is the cutoff that turns a share of what is carried away too, from the last
-// tier on, and of keyed tiers only where the servers are full.
-func (c *column) above(share float64, flows []flow, isFull bool) Cutoff {
+// tier on, and of keyed tiers only where mayCutKeyed says so.
+func (c *column) above(share float64, flows []flow, mayCutKeyed bool) Cutoff {
 	left := 0.0
 	for _, f := range flows {
 		left += share * f.carried
 	}
 	next := c.cutoff
 	for tier := min(int(next.Tier), len(flows)-1); tier >= 0; tier-- {
-		if flows[tier].isKeyed && !isFull {
+		if flows[tier].isKeyed && !mayCutKeyed {
 			return next
 		}
 		part := 0.0
--- a/internal/loadgauge/gauge.go
+++ b/internal/loadgauge/gauge.go
@@ -205,8 +205,8 @@
 	}
 	// Keyed operations that come late, or that a server turns away now and then, are
 	// still better than ones that every node refuses until the cutoff falls.
-	isFull := t.turned > keyedMost*t.sent
-	next := c.above(min(most, max(raiseLeast, t.turned/t.sent, t.late/t.sent/2)), flows, isFull)
+	mayCutKeyed := t.turned > keyedMost*t.sent
+	next := c.above(min(most, max(raiseLeast, t.turned/t.sent, t.late/t.sent/2)), flows, mayCutKeyed)
 	if next.Height(len(flows)) <= max(0, c.cutoff.Height(len(flows))) {
 		return false
 	}
