DRAIN: leaving is final at every hop, told page by page; members stand by on overdue readings

Four faults of the chain from the list to the last byte, each found by reading and brought about in a test that fails on the code before: - a node that took the duty again published the list of its own earlier term under the new one: servers that had left were called ready until its next reading; - no hop remembered that a server leaves: any older list under a newer term undid it, a report was dropped where the server was not listed yet, and lapsed after 10 s; - who leaves was told only once the last page was in: a page that hung held it up; - members stood by on silent heartbeats alone, which go on while a holder's readings fail, stand still, or nobody has the duty. Settle names a server once, leaving before ready, where a list changed while it was paged.

--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -158,9 +158,8 @@
 	c.takeGauge()
 	var held feed.Fleet
 	c.store.read(func(t *tables) { held = t.fleet })
-	if c.last = held; len(c.listed) == 0 {
-		c.listed = held.Servers
-	}
+	// An earlier term's own reading is older than what the holders since then read.
+	c.last, c.listed = held, held.Servers
 	return c.holdsLease(term)
 }
 
--- a/internal/control/duty_test.go
+++ b/internal/control/duty_test.go
@@ -26,6 +26,7 @@
 	b := &node{
 		self: "a", clock: hand, hub: feed.NewHub(), note: func(string, string, ...any) {}, lines: map[string]*rpc.Line{},
 		memberLoop: timetable.NewLoop[func()](256), watch: membership.NewWatch(hand, time.Second), lease: newDutyLease(testSpan),
+		listWatch: newListWatch(hand.Steady()),
 	}
 	b.set.Store(&settings.Settings{Tuning: settings.Defaults()})
 	disk, err := storage.Folder(GinkgoT().TempDir())
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -67,7 +67,7 @@
 	}
 	now := c.clock.Steady()
 	c.laidOutAt = now
-	next := feed.Fleet{Term: c.term, Count: c.last.Count, Servers: slices.Clone(c.listed), Holder: c.self}
+	next := feed.Fleet{Term: c.term, Count: c.last.Count, Servers: slices.Clone(c.withoutLeaving()), Holder: c.self}
 	if next.Servers == nil {
 		return
 	}
@@ -93,6 +93,13 @@
 	c.tell(c.last)
 }
 
+// withoutLeaving is the list with what this node's feed knows to leave: another
+// member may have read that after the list at hand.
+func (c *coordinator) withoutLeaving() (servers []feed.Server) {
+	c.hub.Read(func(board *feed.Board) { servers = board.WithoutLeaving(c.listed) })
+	return servers
+}
+
 // proxies is how many share the servers' connections: those that report, which
 // in this term, and at its beginning by the last holder's word, were never fewer.
 func (c *coordinator) proxies() int {
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -46,6 +46,7 @@
 		messages.KindRelease:  answering(n.onRelease),
 		messages.KindContact:  answering(n.onContact),
 		messages.KindLeaving:  answering(n.onLeaving),
+		messages.KindListRead: answering(n.onListRead),
 	}
 }
 
--- a/internal/control/list_reader.go
+++ b/internal/control/list_reader.go
@@ -42,14 +42,38 @@
 	patienceLeast = 250 * time.Millisecond
 	// usualWeight is how much one call weighs in the usual time.
 	usualWeight = 0.1
+	// retryPause is how long after a page was refused it is asked for again.
+	retryPause = 100 * time.Millisecond
+	// resumeSpan is how long after a reading began a page that failed may be asked for
+	// again with the pages before it kept.
+	resumeSpan = 2 * time.Second
 )
 
+// listing is one reading of the whole list, page by page.
+type listing struct {
+	servers []feed.Server
+	// calls is how many calls this part of the reading took.
+	calls int
+	// began is when its first page was asked for.
+	began timetable.Steady
+}
+
+// unfinished is a reading whose next page could not be had.
+type unfinished struct {
+	listing
+	token string
+}
+
 // listReader reads the platform's list, page by page.
 type listReader struct {
 	client *http.Client
 	clock  timetable.Clock
 	// address is where the platform answers.
 	address func() string
+	// onPage, if set, is given each page as it comes.
+	onPage func([]feed.Server)
+	// rest is the reading to go on with, if there is one.
+	rest *unfinished
 	// calls counts the calls of the present reading.
 	calls int
 	// usual is how long a call usually takes, smoothed.
@@ -61,23 +85,44 @@
 	return &listReader{client: &http.Client{Transport: transport}, clock: clock, address: address}
 }
 
-// read is one reading of the whole list, and how many calls it took.
-func (r *listReader) read(ctx context.Context) (servers []feed.Server, calls int, err error) {
-	now, token := r.clock.Wall(), ""
-	r.calls = 0
+// read reads the list to its end, from the page at which the last reading failed, if
+// that is not long ago. A page that fails again takes the pages before it with it, as
+// its token may be what is wrong.
+func (r *listReader) read(ctx context.Context) (listing, error) {
+	now := r.clock.Steady()
+	under, isResumed := unfinished{listing: listing{began: now}}, false
+	if r.rest != nil && time.Duration(now-r.rest.began) < resumeSpan {
+		under, isResumed = *r.rest, true
+	}
+	r.rest, r.calls = nil, 0
 	for {
-		page, err := r.page(ctx, token)
+		page, err := r.page(ctx, under.token)
+		under.calls = r.calls
 		if err != nil {
-			return nil, r.calls, err
-		}
-		for _, entry := range page.Instances {
-			servers = append(servers, entry.server(now))
+			if !isResumed && under.token != "" {
+				r.rest = &under
+			}
+			return under.listing, err
 		}
+		isResumed = false
+		under.servers = append(under.servers, r.take(page)...)
 		if page.NextToken == nil || *page.NextToken == "" {
-			return servers, r.calls, nil
+			return under.listing, nil
 		}
-		token = *page.NextToken
+		under.token = *page.NextToken
+	}
+}
+
+// take is a page's servers, which whoever waits for pages is given at once.
+func (r *listReader) take(page listPage) (servers []feed.Server) {
+	now := r.clock.Wall()
+	for _, entry := range page.Instances {
+		servers = append(servers, entry.server(now))
+	}
+	if r.onPage != nil {
+		r.onPage(servers)
 	}
+	return servers
 }
 
 // server is the entry as the fleet's news tell it.
@@ -124,6 +169,7 @@
 			if failed++; failed == pageTries {
 				return page, answer.err
 			}
+			patience.Reset(retryPause)
 		case <-patience.C:
 			if made < pageTries {
 				ask()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -59,6 +59,7 @@
 	// heard is when each trial began.
 	heard       sync.Map
 	coordinator *coordinator
+	listWatch   *listWatch
 	// told is which reading of the fleet each member is known to have.
 	told sync.Map
 	// telling marks the members that a reading is on its way to.
@@ -91,6 +92,7 @@
 	n.began = n.clock.Steady()
 	n.watch = membership.NewWatch(n.clock, set.Tuning.SilentAfter.Std())
 	n.lease = newDutyLease(leaseSpan(set.Tuning))
+	n.listWatch = newListWatch(n.began)
 	if err := n.open(set); err != nil {
 		return err
 	}
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ploverhitch/internal/control/standby"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/timetable"
 )
@@ -14,14 +15,20 @@
 	// is to.
 	readerLook   = 50 * time.Millisecond
 	restAfterBad = 3 * time.Second
-	// publishPatience is how long a reading may take to show in this node's hub.
-	publishPatience = 100 * time.Millisecond
+	// holderShare is the part of the platform's rate that the holder takes at most, and
+	// as much is left for the first that reads in its stead, beside a holder that is
+	// only slow; laterShare is for those after it.
+	holderShare = 0.5
+	laterShare  = 0.25
+	// readingDoubt is how many times as long as the last the next reading may take
+	// before it counts as overdue.
+	readingDoubt = 2
 )
 
 // listPoll reads the platform's list again and again while this node holds the
 // duty, and publishes what changed under its term. A holder that cannot read it is
-// unfit for a while, so that the next in the order takes over. While the holder is
-// silent, its watchers read the list too and tell which servers leave.
+// unfit for a while, so that the next in the order takes over. While readings are
+// overdue, other members read the list too and tell which servers leave.
 type listPoll struct {
 	*node
 	reader   *listReader
@@ -52,28 +59,32 @@
 			return readerLook
 		}
 	}
+	// Who leaves is told page by page: it cannot wait for the rest of the list.
+	p.reader.onPage = p.tellLeaving
 	began := p.clock.Steady()
-	servers, calls, err := p.reader.read(ctx)
-	switch {
-	case isHolder:
-		if p.took(err); err == nil {
-			p.publish(servers)
+	read, err := p.reader.read(ctx)
+	ended, set := p.clock.Steady(), p.set.Load()
+	rest := pacing(read.calls, set.Platform.CloudApi.RatePerS*p.share(isHolder))
+	due := nextReading(began, ended, set.Tuning.Poll.Std(), rest)
+	if isHolder {
+		p.took(err)
+	}
+	if err == nil {
+		if isHolder {
+			p.coordinator.loop.Offer(func() { p.coordinator.list(read.servers) })
 		}
-	case err == nil:
-		p.tellLeaving(servers)
+		p.tellRead(time.Duration(ended-read.began), time.Duration(due-ended+readingDoubt*(ended-began)))
 	}
-	now, set := p.clock.Steady(), p.set.Load()
-	due := nextReading(began, now, set.Tuning.Poll.Std(), pacing(calls, set.Platform.CloudApi.RatePerS))
-	return time.Duration(due - now)
+	return time.Duration(due - ended)
 }
 
-// publish hands a reading to the coordinator. What this node's own hub does not show a
-// moment later, as a new holder still reads the trials or a majority is slow, is told
-// beside it: that servers leave needs neither.
-func (p *listPoll) publish(servers []feed.Server) {
-	p.coordinator.loop.Put(func() { p.coordinator.list(servers) })
-	p.clock.Sleep(publishPatience)
-	p.tellLeaving(servers)
+// share is the part of the platform's rate that this node may take.
+func (p *listPoll) share(isHolder bool) float64 {
+	view, holder := p.viewAndHolder()
+	if isHolder || standby.Rank(view, holder, p.self) == 0 {
+		return holderShare
+	}
+	return laterShare
 }
 
 // took counts failures in a row; after some this node is unfit for a while.
@@ -97,13 +108,13 @@
 	return max(began+timetable.Steady(period), ended+rest)
 }
 
-// pacing is how long to rest after so many calls, so that the list's holder
-// takes half of the platform's rate at most.
+// pacing is how long to rest after so many calls, so that no more are made than the
+// given number a second.
 func pacing(calls int, perSecond float64) timetable.Steady {
 	if perSecond <= 0 {
 		return 0
 	}
-	return timetable.Steady(2 * float64(calls) / perSecond * float64(time.Second))
+	return timetable.Steady(float64(calls) / perSecond * float64(time.Second))
 }
 
 func (n *node) fleet() (fleet feed.Fleet) {
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -1,44 +1,65 @@
 package control
 
 import (
-	"slices"
+	"sync"
 	"time"
 
+	"ploverhitch/internal/control/standby"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
+	"ploverhitch/internal/timetable"
 )
 
-const (
-	// standbyPart is the part of the silence after which the duty moves that its
-	// holder's watchers wait before they read the platform's list in its stead.
-	standbyPart = 0.5
-	// standbyLongest bounds it: by then another member has the duty, or this node
-	// does not hear of it.
-	standbyLongest = 4 * time.Second
-)
+// aloneLongest is for how long a node without contact to a majority reads the list
+// unless it hears of another's reading: many such nodes would use up the platform's
+// rate, and those in contact are told of its readings by each other.
+const aloneLongest = 4 * time.Second
 
-// standsBy tells whether this node is to read the list in the stead of the holder
-// of the duty: it watches the holder, and has not heard of it for a while. The duty
-// itself moves later; that servers leave cannot wait for it.
-func (n *node) standsBy() bool {
-	var view membership.View
-	holder := ""
+// listWatch is what this node knows of the readings of the platform's list, shared by
+// its own reader and the calls that come in.
+type listWatch struct {
+	lock  sync.Mutex
+	watch *standby.Watch
+}
+
+func newListWatch(now timetable.Steady) *listWatch { return &listWatch{watch: standby.NewWatch(now)} }
+
+func (l *listWatch) hear(told messages.ListRead, now timetable.Steady) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.watch.Hear(told.From, told.Age.Std(), told.Next.Std(), now)
+}
+
+func (l *listWatch) age(now timetable.Steady) (age time.Duration, ok bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.watch.Age(now)
+}
+
+// isOverdue tells whether the node is to read in the holder's stead.
+func (l *listWatch) isOverdue(view membership.View, holder, self string, isInContact bool, now timetable.Steady) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return (isInContact || l.watch.Silence(now) < aloneLongest) && l.watch.IsOverdue(view, holder, self, now)
+}
+
+// viewAndHolder are the members and the holder of the duty, as this node's feed tells.
+func (n *node) viewAndHolder() (view membership.View, holder string) {
 	n.hub.Read(func(board *feed.Board) { view, holder = board.View, board.Fleet.Holder })
-	if holder == "" || holder == n.self || !view.Has(n.self) {
-		return false
-	}
-	if !slices.Contains(membership.Watchers(view.Members, holder, watcherCount), n.self) {
-		return false
-	}
-	var silence time.Duration
-	n.inMemberLoop(func() { silence = n.watch.Silence(holder, n.began) })
-	patience := time.Duration(standbyPart * float64(n.set.Load().Tuning.SilentAfter))
-	return silence > patience && silence < standbyLongest
+	return view, holder
+}
+
+// standsBy tells whether this node is to read the list in the stead of the holder of
+// the duty: no reading was completed when it was due. Whether the holder is gone, has
+// lost the duty, or is alive and cannot read makes no difference.
+func (n *node) standsBy() bool {
+	view, holder := n.viewAndHolder()
+	return n.listWatch.isOverdue(view, holder, n.self, n.isInContact(), n.clock.Steady())
 }
 
 // tellLeaving tells every member which servers the list shows leaving that the
-// fleet still calls ready.
+// fleet still calls ready. It needs neither a term nor the disk.
 func (n *node) tellLeaving(servers []feed.Server) {
 	var view membership.View
 	var leaving messages.Leaving
@@ -46,10 +67,8 @@
 	if len(leaving.IDs) == 0 {
 		return
 	}
-	for _, member := range view.Members {
-		if member != n.self {
-			n.line(member).Send(messages.KindLeaving, leaving, nil)
-		}
+	for _, member := range view.Others(n.self) {
+		n.line(member).Send(messages.KindLeaving, leaving, nil)
 	}
 	n.hub.Publish(feed.News{Leaving: leaving.IDs})
 }
@@ -58,3 +77,18 @@
 func (n *node) onLeaving(in messages.Leaving, _ func(messages.Done)) {
 	n.hub.Publish(feed.News{Leaving: in.IDs})
 }
+
+// tellRead tells the other members that this node has read the whole list, how old
+// that reading is, and within which span the next is due.
+func (n *node) tellRead(age, next time.Duration) {
+	told := messages.ListRead{From: n.self, Age: timetable.Span(age), Next: timetable.Span(next)}
+	n.listWatch.hear(told, n.clock.Steady())
+	view, _ := n.viewAndHolder()
+	for _, member := range view.Others(n.self) {
+		n.line(member).Send(messages.KindListRead, told, nil)
+	}
+}
+
+func (n *node) onListRead(in messages.ListRead, _ func(messages.Done)) {
+	n.listWatch.hear(in, n.clock.Steady())
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/idempotency"
@@ -44,8 +45,11 @@
 	Trials map[string]TrialStatus `json:"Trials"`
 	// QuorumAgeMs is how long ago this node last reached a majority of its view, -1
 	// if it hasn't yet.
-	QuorumAgeMs int64       `json:"QuorumAgeMs"`
-	Lease       LeaseStatus `json:"Lease"`
+	QuorumAgeMs int64 `json:"QuorumAgeMs"`
+	// ListAgeMs is how long ago the newest whole reading of the platform's list that
+	// this node knows of began, -1 if it knows of none.
+	ListAgeMs int64       `json:"ListAgeMs"`
+	Lease     LeaseStatus `json:"Lease"`
 }
 
 // LeaseStatus is the lease of the duty as this node knows it. RemainingMs is 0 but
@@ -84,13 +88,14 @@
 		}
 	})
 	out.Servers = len(n.fleet().Servers)
-	out.QuorumAgeMs, out.Lease = n.quorumAgeMs(), n.leaseStatus(out)
+	out.QuorumAgeMs, out.Lease = ageMs(n.contact.age(n.clock.Steady())), n.leaseStatus(out)
+	out.ListAgeMs = ageMs(n.listWatch.age(n.clock.Steady()))
 	return out, nil
 }
 
-func (n *node) quorumAgeMs() int64 {
-	age, ok := n.contact.age(n.clock.Steady())
-	if !ok {
+// ageMs is an age as the status tells it.
+func ageMs(age time.Duration, isKnown bool) int64 {
+	if !isKnown {
 		return -1
 	}
 	return age.Milliseconds()
--- /dev/null
+++ b/internal/control/takeover_test.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/membership"
+	"ploverhitch/internal/messages"
+	"ploverhitch/internal/timetable"
+)
+
+var _ = Describe("a server that leaves while the duty moves", func() {
+	const leaver = "i-1"
+	view := membership.View{Epoch: 1, Members: []string{"a"}}
+	var b *node
+	var hand *timetable.Hand
+
+	// grant makes this member grant the duty.
+	grant := func(holder string, number uint64) {
+		hand.Now += testSpan
+		granted := make(chan messages.Done, 1)
+		b.onClaim(messages.Claim{Epoch: 1, Term: membership.Term{Number: number, Holder: holder}}, func(done messages.Done) { granted <- done })
+		Expect((<-granted).OK).To(BeTrue())
+	}
+	// hold makes this node the holder of the duty under a new term.
+	hold := func(number uint64) {
+		grant("a", number)
+		round := b.lease.start(number, view, hand.Steady())
+		Expect(b.lease.acknowledge(round, "a")).To(BeTrue())
+		b.myTerm.Store(number)
+		b.isHolder.Store(true)
+	}
+	isReady := func() bool {
+		for _, server := range b.fleet().Servers {
+			if server.ID == leaver {
+				return server.IsReady
+			}
+		}
+		return false
+	}
+
+	BeforeEach(func() {
+		hand = &timetable.Hand{Now: time.Hour}
+		b = newMember(hand, view)
+	})
+
+	It("is not called ready again by a node that takes the duty a second time", func() {
+		hold(1)
+		b.coordinator.list([]feed.Server{{ID: leaver, Service: "s", IsReady: true}, {ID: "i-2", Service: "s", IsReady: true}})
+		Eventually(isReady).Should(BeTrue())
+		b.stepDown()
+		Eventually(func() bool { return b.holdsLease(1) }).Should(BeFalse())
+		b.coordinator.isMaster()
+		grant("b", 2)
+		told := make(chan messages.Done, 1)
+		b.onFleet(feed.Fleet{Term: 2, Count: 9, Holder: "b", Servers: []feed.Server{{ID: leaver, Service: "s"}, {ID: "i-2", Service: "s", IsReady: true}}},
+			func(done messages.Done) { told <- done })
+		Expect((<-told).OK).To(BeTrue())
+		hold(3)
+		Eventually(func() uint64 { b.coordinator.conduct(); return b.fleet().Term }).Should(BeEquivalentTo(3))
+		Expect(isReady()).To(BeFalse(), "the list of this node's earlier term was published again")
+	})
+})
+
+var _ = Describe("a server that leaves while a reading of the list is held up", func() {
+	It("is told although a later page of the list does not come", func() {
+		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Get("PageToken") != "" {
+				<-r.Context().Done()
+				return
+			}
+			_, _ = fmt.Fprint(w, `{"Instances":[{"InstanceId":"i-1","State":"draining"},{"InstanceId":"i-2","State":"ready"}],"NextToken":"2"}`)
+		}))
+		DeferCleanup(platform.Close)
+		hand := &timetable.Hand{Now: time.Hour}
+		b := newMember(hand, membership.View{Epoch: 1, Members: []string{"a"}})
+		b.hub.Publish(feed.News{Fleet: &feed.Fleet{Term: 1, Count: 1, Holder: "a", Servers: []feed.Server{{ID: "i-1", IsReady: true}, {ID: "i-2", IsReady: true}}}})
+		b.isHolder.Store(true)
+		poll := &listPoll{node: b, reader: newListReader(hand, func() string { return platform.Listener.Addr().String() })}
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go poll.turn(ctx)
+		Eventually(func() (out map[string]bool) {
+			b.hub.Read(func(board *feed.Board) { out = maps.Clone(board.Leaving) })
+			return out
+		}, pageSpan/2).Should(HaveKey("i-1"))
+	})
+})
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -4,7 +4,6 @@
 package feed
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,7 +25,7 @@
 	// IsWhole says that the sender speaks for a majority of the core.
 	IsWhole bool `cbor:"7,keyasint,omitempty"`
 	// Leaving are servers that the platform's list showed leaving, told by whoever
-	// read it; see Board.Leaving.
+	// read it, page by page; see Board.Leaving.
 	Leaving []string `cbor:"8,keyasint,omitempty"`
 	// packed is the news as a frame carries it, written once for all followers.
 	packed []byte
@@ -69,10 +68,13 @@
 	Fleet   Fleet
 	View    membership.View
 	IsWhole bool
-	// Leaving are the ids of servers that are known to leave while the fleet still
-	// calls them ready. A server that leaves never becomes ready again, so this may
-	// be told under no term, by any node that read the list.
+	// Leaving are the ids of the servers that were seen leaving, in a fleet or by the
+	// word of any node that read the list. A server that leaves never becomes ready
+	// again, so this may be told under no term, and no later fleet undoes it: the
+	// holder of a new term may go on from an older list than this board has seen.
 	Leaving map[string]bool
+	// leavingOrder has the same ids, those seen first at the front.
+	leavingOrder []string
 }
 
 // NewBoard makes an empty board.
@@ -98,7 +100,7 @@
 			whole = b.Fleet.With(whole)
 		}
 		b.Fleet, fresh.Fleet, isNew = whole, &whole, true
-		b.forgetLeft()
+		b.noteLeaving(whole.Servers)
 	}
 	if fresh.Leaving = b.mergeLeaving(news.Leaving); len(fresh.Leaving) > 0 {
 		isNew = true
@@ -130,5 +132,5 @@
 //	hub := feed.NewHub(board.Checkpoint)
 func (b *Board) Checkpoint() News {
 	fleet, view := b.Fleet, b.View
-	return News{Items: b.Book.Items(), Fleet: &fleet, View: &view, IsCheckpoint: true, IsWhole: b.IsWhole, Leaving: slices.Sorted(maps.Keys(b.Leaving))}
+	return News{Items: b.Book.Items(), Fleet: &fleet, View: &view, IsCheckpoint: true, IsWhole: b.IsWhole, Leaving: slices.Clone(b.leavingOrder)}
 }
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -129,14 +129,17 @@
 // warmDrift is how far two readings of a server's warming may lie apart.
 const warmDrift = 700 * time.Millisecond
 
-// Settle lays a reading in order, and takes over what the last reading said of
-// a server's warming where it is the same but for the clock's steps.
+// Settle lays a reading in order, each server once, and takes over what the last
+// reading said of a server's warming where it is the same but for the clock's steps. A
+// list that changes while it is paged may show a server on two pages: one that any
+// page shows leaving leaves.
 //
 // Example:
 //
 //	servers = feed.Settle(last.Servers, servers)
 func Settle(last, read []Server) []Server {
-	slices.SortFunc(read, func(a, z Server) int { return strings.Compare(a.ID, z.ID) })
+	slices.SortStableFunc(read, leavingFirst)
+	read = slices.CompactFunc(read, func(a, z Server) bool { return a.ID == z.ID })
 	at := map[string]Server{}
 	for _, server := range last {
 		at[server.ID] = server
@@ -150,3 +153,14 @@
 	}
 	return read
 }
+
+// leavingFirst orders servers by id, and an entry that leaves before one that is ready.
+func leavingFirst(a, z Server) int {
+	if order := strings.Compare(a.ID, z.ID); order != 0 || a.IsReady == z.IsReady {
+		return order
+	}
+	if a.IsReady {
+		return 1
+	}
+	return -1
+}
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -5,6 +5,11 @@
 	"strings"
 )
 
+// departedMost bounds how many servers that left are remembered. At the target's rate
+// of replacement, 28,000 a day, that is more than an hour, and a fleet that is older
+// than what a board has seen is out of date by seconds.
+const departedMost = 2048
+
 // StillReady are the servers that a reading of the platform's list shows leaving and
 // the fleet still calls ready.
 //
@@ -25,23 +30,70 @@
 	return isListed && f.Servers[at].IsReady
 }
 
-// mergeLeaving takes in servers that are known to leave, and returns those that were
-// new and that the fleet calls ready.
+// Serving is the fleet as requests may use it: a server that is known to leave is not
+// ready, whatever the fleet says of it.
+//
+// Example:
+//
+//	yard = yard.Lay(board.Serving())
+func (b *Board) Serving() Fleet {
+	fleet := b.Fleet
+	fleet.Servers = b.WithoutLeaving(fleet.Servers)
+	return fleet
+}
+
+// WithoutLeaving is the list with every server that is known to leave marked as not
+// ready. The list itself is not changed.
+//
+// Example:
+//
+//	fleet.Servers = board.WithoutLeaving(listed)
+func (b *Board) WithoutLeaving(servers []Server) []Server {
+	isCopied := false
+	for i, server := range servers {
+		if !server.IsReady || !b.Leaving[server.ID] {
+			continue
+		}
+		if !isCopied {
+			servers, isCopied = slices.Clone(servers), true
+		}
+		servers[i].IsReady = false
+	}
+	return servers
+}
+
+// mergeLeaving remembers servers that are known to leave, and returns those that were
+// not known before.
 func (b *Board) mergeLeaving(ids []string) (fresh []string) {
 	for _, id := range ids {
-		if !b.Leaving[id] && b.Fleet.callsReady(id) {
+		if !b.Leaving[id] {
 			b.Leaving[id] = true
+			b.leavingOrder = append(b.leavingOrder, id)
 			fresh = append(fresh, id)
 		}
 	}
+	b.forgetOldest()
 	return fresh
 }
 
-// forgetLeft drops what the fleet itself says by now.
-func (b *Board) forgetLeft() {
-	for id := range b.Leaving {
-		if !b.Fleet.callsReady(id) {
-			delete(b.Leaving, id)
+// noteLeaving remembers the servers that the fleet shows leaving. Whoever has the fleet
+// knows it too, so it is no news.
+func (b *Board) noteLeaving(servers []Server) {
+	for _, server := range servers {
+		if !server.IsReady {
+			b.mergeLeaving([]string{server.ID})
 		}
 	}
 }
+
+// forgetOldest keeps what is remembered within its bound.
+func (b *Board) forgetOldest() {
+	surplus := len(b.leavingOrder) - departedMost
+	if surplus <= 0 {
+		return
+	}
+	for _, id := range b.leavingOrder[:surplus] {
+		delete(b.Leaving, id)
+	}
+	b.leavingOrder = slices.Clone(b.leavingOrder[surplus:])
+}
--- a/internal/inspector/core.go
+++ b/internal/inspector/core.go
@@ -75,6 +75,9 @@
 		if status.QuorumAgeMs < 0 || status.QuorumAgeMs > staleContactMs {
 			out = append(out, fmt.Sprintf("%s reached a majority: %s", status.Node, age(status.QuorumAgeMs)))
 		}
+		if status.ListAgeMs < 0 || status.ListAgeMs > staleListMs {
+			out = append(out, fmt.Sprintf("%s knows of a reading of the platform's list: %s", status.Node, age(status.ListAgeMs)))
+		}
 	}
 	if len(holders) != 1 {
 		out = append(out, fmt.Sprintf("%d members hold the lease of the duty: %s", len(holders), strings.Join(holders, ", ")))
@@ -89,6 +92,10 @@
 // a finding.
 const staleContactMs = 2000
 
+// staleListMs is how old a member's newest reading of the platform's list may be before
+// it is a finding: a server that leaves must be known well within two seconds.
+const staleListMs = 2000
+
 func age(ms int64) string {
 	if ms < 0 {
 		return "never"
@@ -101,7 +108,7 @@
 	if err != nil {
 		return Unlooked, err
 	}
-	rows := [][]string{{"MEMBER", "EPOCH", "WHOLE", "INDEX", "BEHIND", "QUORUM", "TERM", "LEASE"}}
+	rows := [][]string{{"MEMBER", "EPOCH", "WHOLE", "INDEX", "BEHIND", "QUORUM", "LIST READ", "TERM", "LEASE"}}
 	newest := uint64(0)
 	for _, status := range core.Members {
 		newest = max(newest, status.Index)
@@ -113,7 +120,7 @@
 		}
 		rows = append(rows, []string{
 			status.Node, strconv.FormatUint(status.Epoch, 10), strconv.FormatBool(status.IsTrusted), strconv.FormatUint(status.Index, 10),
-			strconv.FormatUint(newest-status.Index, 10), age(status.QuorumAgeMs), strconv.FormatUint(status.Term, 10), lease,
+			strconv.FormatUint(newest-status.Index, 10), age(status.QuorumAgeMs), age(status.ListAgeMs), strconv.FormatUint(status.Term, 10), lease,
 		})
 	}
 	if len(core.Accepted) > 0 {
--- a/internal/messages/telegram.go
+++ b/internal/messages/telegram.go
@@ -7,6 +7,7 @@
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/rpc"
+	"ploverhitch/internal/timetable"
 )
 
 // The kinds of frames; feed.KindFollow is the first.
@@ -47,6 +48,7 @@
 	KindEntries
 	KindLeave
 	KindLeaving
+	KindListRead
 )
 
 // Reserve asks a core node for its vote, under the view's epoch.
@@ -87,12 +89,20 @@
 	Items []config.Item `cbor:"1,keyasint"`
 }
 
-// Leaving names servers that the platform's list shows leaving. It is told under no
-// term, by a member that reads the list in the stead of a silent holder.
+// Leaving names servers that a page of the platform's list shows leaving. It is told
+// under no term, by whoever reads the list.
 type Leaving struct {
 	IDs []string `cbor:"1,keyasint"`
 }
 
+// ListRead says that a member has read the whole list: how long ago that reading began,
+// and within which span the member expects to complete the next.
+type ListRead struct {
+	From string         `cbor:"1,keyasint"`
+	Age  timetable.Span `cbor:"2,keyasint"`
+	Next timetable.Span `cbor:"3,keyasint"`
+}
+
 // Join says that a node with an empty place waits to become a member.
 type Join struct {
 	Address string `cbor:"1,keyasint"`
--- a/internal/points/copy.go
+++ b/internal/points/copy.go
@@ -66,7 +66,7 @@
 func (p *proxy) mayCopy(m *config.Mirror, server *shunt.Siding) bool {
 	s := p.sight.Load()
 	now, isThere := s.yard.Find(server.ID)
-	if !isThere || now.Address != server.Address || now.Service != m.Shadow || !now.IsReady || now.IsLeaving(p.clock.Steady()) {
+	if !isThere || now.Address != server.Address || now.Service != m.Shadow || !now.IsReady || now.IsLeaving() {
 		return false
 	}
 	_, isHeld := s.mirrorGrant(m)
--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -179,12 +179,12 @@
 			next.sheet = nil
 		}
 		if fresh.Fleet != nil {
-			next.take(p.board.Fleet, p.clock.Steady())
+			next.take(p.board.Serving(), p.clock.Steady())
 			p.copier.keep(next.servers)
 		}
 		leaving = append(leaving, fresh.Leaving...)
 	}
-	next.yard.Leave(leaving, p.clock.Steady())
+	next.yard.Leave(leaving)
 	if !isNew {
 		return
 	}
--- a/internal/points/serving.go
+++ b/internal/points/serving.go
@@ -18,7 +18,7 @@
 	if !isListed || now.Address != siding.Address {
 		return false
 	}
-	return now.IsReady && now.Grade != feed.Shut && !now.IsLeaving(p.clock.Steady())
+	return now.IsReady && now.Grade != feed.Shut && !now.IsLeaving()
 }
 
 // replace makes another try in place of one whose server had left before anything
--- a/internal/shunt/choose.go
+++ b/internal/shunt/choose.go
@@ -57,7 +57,7 @@
 // look weighs one server; it is counted if it could well be taken.
 func (c *choice) look(siding *Siding) {
 	isFull := c.wish.Limit > 0 && siding.atWork.Load() >= int64(c.wish.Limit)
-	if isFull || siding.isGone.Load() || siding.IsLeaving(c.now) || wasPassed(c.wish.Passed, siding) || c.wish.Allows != nil && !c.wish.Allows(siding) {
+	if isFull || siding.isGone.Load() || siding.IsLeaving() || wasPassed(c.wish.Passed, siding) || c.wish.Allows != nil && !c.wish.Allows(siding) {
 		return
 	}
 	cost := siding.cost(c.now, c.wall, c.cell, c.wish)
--- a/internal/shunt/siding.go
+++ b/internal/shunt/siding.go
@@ -34,8 +34,9 @@
 	fails atomic.Int64
 	// isGone: another server has the address.
 	isGone atomic.Bool
-	// leaving is until when the server counts as leaving, whatever the fleet says.
-	leaving atomic.Int64
+	// isLeaving: the server is known to leave, whatever the fleet says. It never
+	// becomes ready again.
+	isLeaving atomic.Bool
 }
 
 const (
@@ -72,12 +73,12 @@
 	return s.Server == server
 }
 
-// IsLeaving tells whether the server was reported to leave, not long ago.
+// IsLeaving tells whether the server was reported to leave.
 //
 // Example:
 //
-//	if siding.IsLeaving(clock.Steady()) { chooseAnother() }
-func (s *Siding) IsLeaving(now timetable.Steady) bool { return int64(now) < s.leaving.Load() }
+//	if siding.IsLeaving() { chooseAnother() }
+func (s *Siding) IsLeaving() bool { return s.isLeaving.Load() }
 
 // Begin notes that an inquiry is on its way to the server.
 //
--- a/internal/shunt/yard.go
+++ b/internal/shunt/yard.go
@@ -1,11 +1,6 @@
 package shunt
 
-import (
-	"time"
-
-	"ploverhitch/internal/feed"
-	"ploverhitch/internal/timetable"
-)
+import "ploverhitch/internal/feed"
 
 // Home is the place of the node itself.
 type Home struct {
@@ -83,20 +78,16 @@
 	}
 }
 
-// leavingSpan is how long a report that a server leaves holds. By then the fleet
-// says so itself, whoever publishes it.
-const leavingSpan = timetable.Steady(10 * time.Second)
-
-// Leave takes the servers out of every choice: the platform's list showed that they
-// leave, and the fleet may not say so yet.
+// Leave takes the servers out of every choice for good: the platform's list showed
+// that they leave, and the fleet may not say so yet.
 //
 // Example:
 //
-//	yard.Leave(news.Leaving, clock.Steady())
-func (y *Yard) Leave(ids []string, now timetable.Steady) {
+//	yard.Leave(news.Leaving)
+func (y *Yard) Leave(ids []string) {
 	for _, id := range ids {
 		if siding := y.byID[id]; siding != nil {
-			siding.leaving.Store(int64(now + leavingSpan))
+			siding.isLeaving.Store(true)
 		}
 	}
 }
