--- a/internal/control/list_reader.go
+++ b/internal/control/list_reader.go
@@ -49,8 +49,8 @@
 	resumeSpan = 2 * time.Second
 )
 
-// listing is one reading of the whole list, page by page.
-type listing struct {
+// listReading is one reading of the whole list, page by page.
+type listReading struct {
 	servers []feed.Server
 	// calls is how many calls this part of the reading took.
 	calls int
@@ -60,7 +60,7 @@
 
 // unfinished is a reading whose next page could not be had.
 type unfinished struct {
-	listing
+	listReading
 	token string
 }
 
@@ -88,9 +88,9 @@
 // read reads the list to its end, from the page at which the last reading failed, if
 // that is not long ago. A page that fails again takes the pages before it with it, as
 // its token may be what is wrong.
-func (r *listReader) read(ctx context.Context) (listing, error) {
+func (r *listReader) read(ctx context.Context) (listReading, error) {
 	now := r.clock.Steady()
-	under, isResumed := unfinished{listing: listing{began: now}}, false
+	under, isResumed := unfinished{listReading: listReading{began: now}}, false
 	if r.rest != nil && time.Duration(now-r.rest.began) < resumeSpan {
 		under, isResumed = *r.rest, true
 	}
@@ -102,12 +102,12 @@
 			if !isResumed && under.token != "" {
 				r.rest = &under
 			}
-			return under.listing, err
+			return under.listReading, err
 		}
 		isResumed = false
 		under.servers = append(under.servers, r.take(page)...)
 		if page.NextToken == nil || *page.NextToken == "" {
-			return under.listing, nil
+			return under.listReading, nil
 		}
 		under.token = *page.NextToken
 	}
--- /dev/null
+++ b/internal/control/listing/pace.go
@@ -0,0 +1,64 @@
+package listing
+
+import (
+	"time"
+
+	"ploverhitch/internal/timetable"
+)
+
+const (
+	// HolderShare is the part of the platform's rate that the holder of the duty takes
+	// at most; the first that reads in its stead takes as much, beside a holder that is
+	// only slow, and those after it laterShare.
+	HolderShare = 0.5
+	laterShare  = 0.25
+	// leastRest is the least time between two readings.
+	leastRest = 50 * time.Millisecond
+	// doubt is how many times as long as the last reading the next may take before it
+	// counts as overdue.
+	doubt = 2
+)
+
+// ShareOf is the part of the platform's rate that a member of a rank may take.
+//
+// Example:
+//
+//	rate := settings.RatePerS * listing.ShareOf(listing.Rank(view, holder, self))
+func ShareOf(rank int) float64 {
+	if rank <= 0 {
+		return HolderShare
+	}
+	return laterShare
+}
+
+// Pace is how often a member reads the list.
+type Pace struct {
+	// Period is how far the beginnings of two readings lie apart at least.
+	Period time.Duration
+	// Rate is how many calls a second the member may make; 0 if there is no bound.
+	Rate float64
+}
+
+// Next is when the reading after one of so many calls begins. The calls of a reading
+// come in a row, so the rate is kept from one beginning to the next.
+//
+// Example:
+//
+//	due := listing.Pace{Period: 700 * time.Millisecond, Rate: 25}.Next(began, ended, calls)
+func (p Pace) Next(began, ended timetable.Steady, calls int) timetable.Steady {
+	apart := p.Period
+	if p.Rate > 0 {
+		apart = max(apart, time.Duration(float64(calls)/p.Rate*float64(time.Second)))
+	}
+	return max(began+timetable.Steady(apart), ended+timetable.Steady(leastRest))
+}
+
+// Expected is within which span of its end the reading after this one is due to be
+// complete.
+//
+// Example:
+//
+//	next := listing.Expected(began, ended, due)
+func Expected(began, ended, due timetable.Steady) time.Duration {
+	return time.Duration(due - ended + doubt*(ended-began))
+}
--- /dev/null
+++ b/internal/control/listing/pace_test.go
@@ -0,0 +1,45 @@
+package listing_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/control/listing"
+	"ploverhitch/internal/timetable"
+)
+
+var _ = Describe("the pace of the readings of the list", func() {
+	const second = timetable.Steady(time.Second)
+	const period = 700 * time.Millisecond
+	pace := listing.Pace{Period: period, Rate: listing.HolderShare * 50}
+
+	It("is one reading a period, or as many as the rate allows, whichever is fewer, and waits for no more", func() {
+		Expect(listing.Pace{Period: period}.Next(0, second/10, 1000)).To(Equal(7 * second / 10))
+		// 15 pages at 25 calls a second are 0.6 s apart: the period decides.
+		Expect(pace.Next(0, second/4, 15)).To(Equal(7 * second / 10))
+		// 22 pages are 0.88 s apart, however long the reading itself took.
+		Expect(pace.Next(0, second/4, 22)).To(BeNumerically("~", 88*second/100, second/1000))
+	})
+
+	It("keeps the rate from one beginning to the next", func() {
+		for _, calls := range []int{1, 8, 15, 22, 200} {
+			apart := time.Duration(pace.Next(0, second/4, calls)).Seconds()
+			Expect(float64(calls)/apart).To(BeNumerically("<=", 25.001), "%d calls", calls)
+		}
+	})
+
+	It("rests a little after a reading that took longer than that", func() {
+		Expect(pace.Next(0, 3*second, 15)).To(BeNumerically(">", 3*second))
+	})
+
+	It("leaves the rate to the holder and one more, whoever else reads takes less", func() {
+		Expect(listing.ShareOf(-1) + listing.ShareOf(0)).To(BeNumerically("<=", 1))
+		Expect(listing.ShareOf(1)).To(BeNumerically("<", listing.ShareOf(0)))
+	})
+
+	It("expects the next reading to be complete a while after it begins", func() {
+		Expect(listing.Expected(0, second/10, 7*second/10)).To(Equal(800 * time.Millisecond))
+	})
+})
--- a/internal/control/standby/watch.go
+++ b/internal/control/listing/watch.go
@@ -1,10 +1,4 @@
-// Package standby decides which member of the core reads the platform's list in the
-// stead of the holder of the duty. The decision goes by readings that were completed,
-// never by heartbeats: a holder may be alive while its readings fail or stand still.
-//
-// Its state is a pure type without clock, network or disk; package control owns it and
-// is, with the emulator, the only one to import it.
-package standby
+package listing
 
 import (
 	"slices"
@@ -38,7 +32,7 @@
 //
 // Example:
 //
-//	watch := standby.NewWatch(clock.Steady())
+//	watch := listing.NewWatch(clock.Steady())
 func NewWatch(now timetable.Steady) *Watch {
 	return &Watch{began: now, heard: now, due: map[string]timetable.Steady{}}
 }
@@ -78,7 +72,7 @@
 //
 // Example:
 //
-//	isFirst := standby.Rank(view, holder, self) == 0
+//	isFirst := listing.Rank(view, holder, self) == 0
 func Rank(view membership.View, holder, member string) int {
 	if holder == "" || member == holder || !view.Has(member) {
 		return -1
--- a/internal/control/standby/watch_test.go
+++ b/internal/control/listing/watch_test.go
@@ -1,4 +1,4 @@
-package standby_test
+package listing_test
 
 import (
 	"testing"
@@ -7,14 +7,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/control/standby"
+	"ploverhitch/internal/control/listing"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/timetable"
 )
 
-func TestStandby(t *testing.T) {
+func TestListing(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "standby")
+	RunSpecs(t, "listing")
 }
 
 var _ = Describe("the watch over readings of the list", func() {
@@ -24,24 +24,24 @@
 	// ranked is the member with a rank.
 	ranked := func(rank int) string {
 		for _, member := range view.Members {
-			if standby.Rank(view, holder, member) == rank {
+			if listing.Rank(view, holder, member) == rank {
 				return member
 			}
 		}
 		panic("no such rank")
 	}
 	after := func(span time.Duration) timetable.Steady { return start + timetable.Steady(span) }
-	overdue := func(watch *standby.Watch, now timetable.Steady) (out []int) {
+	overdue := func(watch *listing.Watch, now timetable.Steady) (out []int) {
 		for _, member := range view.Members {
 			if watch.IsOverdue(view, holder, member, now) {
-				out = append(out, standby.Rank(view, holder, member))
+				out = append(out, listing.Rank(view, holder, member))
 			}
 		}
 		return out
 	}
 
 	It("lets nobody read while the holder's readings come in time, and one after the other when they do not", func() {
-		watch := standby.NewWatch(start)
+		watch := listing.NewWatch(start)
 		watch.Hear(holder, 100*time.Millisecond, 800*time.Millisecond, start)
 		Expect(overdue(watch, after(900*time.Millisecond))).To(BeEmpty())
 		Expect(overdue(watch, after(1000*time.Millisecond))).To(ConsistOf(0))
@@ -50,7 +50,7 @@
 	})
 
 	It("holds the later ones back while an earlier one reads, and all once the holder is back", func() {
-		watch := standby.NewWatch(start)
+		watch := listing.NewWatch(start)
 		watch.Hear(holder, 0, 800*time.Millisecond, start)
 		watch.Hear(ranked(0), 0, 800*time.Millisecond, after(1200*time.Millisecond))
 		Expect(overdue(watch, after(2000*time.Millisecond))).To(ConsistOf(0))
@@ -59,20 +59,20 @@
 	})
 
 	It("counts the last holder's reading until the next is due, whoever holds the duty now", func() {
-		watch := standby.NewWatch(start)
+		watch := listing.NewWatch(start)
 		watch.Hear(ranked(2), 0, 800*time.Millisecond, after(5*time.Second))
 		Expect(overdue(watch, after(5800*time.Millisecond))).To(ConsistOf(2), "it does not count its own")
 		Expect(overdue(watch, after(6*time.Second))).To(ConsistOf(0, 2))
 	})
 
 	It("gives a holder that was never heard of time for its first reading", func() {
-		watch := standby.NewWatch(start)
+		watch := listing.NewWatch(start)
 		Expect(overdue(watch, after(time.Second))).To(BeEmpty())
 		Expect(overdue(watch, after(2*time.Second))).To(ContainElement(0))
 	})
 
 	It("has no place for the holder, for one outside of the view, or where no holder is known", func() {
-		watch := standby.NewWatch(start)
+		watch := listing.NewWatch(start)
 		later := after(time.Minute)
 		Expect(watch.IsOverdue(view, holder, holder, later)).To(BeFalse())
 		Expect(watch.IsOverdue(view, holder, "10.0.0.9:1", later)).To(BeFalse())
@@ -80,7 +80,7 @@
 	})
 
 	It("counts the age of the list from the beginning of the newest reading", func() {
-		watch := standby.NewWatch(start)
+		watch := listing.NewWatch(start)
 		_, isKnown := watch.Age(start)
 		Expect(isKnown).To(BeFalse())
 		watch.Hear(holder, 200*time.Millisecond, time.Second, start)
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"ploverhitch/internal/control/standby"
+	"ploverhitch/internal/control/listing"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/timetable"
 )
 
 const (
@@ -15,14 +14,6 @@
 	// is to.
 	readerLook   = 50 * time.Millisecond
 	restAfterBad = 3 * time.Second
-	// holderShare is the part of the platform's rate that the holder takes at most, and
-	// as much is left for the first that reads in its stead, beside a holder that is
-	// only slow; laterShare is for those after it.
-	holderShare = 0.5
-	laterShare  = 0.25
-	// readingDoubt is how many times as long as the last the next reading may take
-	// before it counts as overdue.
-	readingDoubt = 2
 )
 
 // listPoll reads the platform's list again and again while this node holds the
@@ -63,9 +54,8 @@
 	p.reader.onPage = p.tellLeaving
 	began := p.clock.Steady()
 	read, err := p.reader.read(ctx)
-	ended, set := p.clock.Steady(), p.set.Load()
-	rest := pacing(read.calls, set.Platform.CloudApi.RatePerS*p.share(isHolder))
-	due := nextReading(began, ended, set.Tuning.Poll.Std(), rest)
+	ended := p.clock.Steady()
+	due := p.pace(isHolder).Next(began, ended, read.calls)
 	if isHolder {
 		p.took(err)
 	}
@@ -73,18 +63,19 @@
 		if isHolder {
 			p.coordinator.loop.Offer(func() { p.coordinator.list(read.servers) })
 		}
-		p.tellRead(time.Duration(ended-read.began), time.Duration(due-ended+readingDoubt*(ended-began)))
+		p.tellRead(time.Duration(ended-read.began), listing.Expected(began, ended, due))
 	}
 	return time.Duration(due - ended)
 }
 
-// share is the part of the platform's rate that this node may take.
-func (p *listPoll) share(isHolder bool) float64 {
-	view, holder := p.viewAndHolder()
-	if isHolder || standby.Rank(view, holder, p.self) == 0 {
-		return holderShare
+// pace is how often this node may read the list.
+func (p *listPoll) pace(isHolder bool) listing.Pace {
+	set, rank := p.set.Load(), -1
+	if !isHolder {
+		view, holder := p.viewAndHolder()
+		rank = listing.Rank(view, holder, p.self)
 	}
-	return laterShare
+	return listing.Pace{Period: set.Tuning.Poll.Std(), Rate: set.Platform.CloudApi.RatePerS * listing.ShareOf(rank)}
 }
 
 // took counts failures in a row; after some this node is unfit for a while.
@@ -102,21 +93,6 @@
 	p.failures = 0
 }
 
-// nextReading is when the list is read again: a period after the last reading
-// began, or once the rest after it is over.
-func nextReading(began, ended timetable.Steady, period time.Duration, rest timetable.Steady) timetable.Steady {
-	return max(began+timetable.Steady(period), ended+rest)
-}
-
-// pacing is how long to rest after so many calls, so that no more are made than the
-// given number a second.
-func pacing(calls int, perSecond float64) timetable.Steady {
-	if perSecond <= 0 {
-		return 0
-	}
-	return timetable.Steady(float64(calls) / perSecond * float64(time.Second))
-}
-
 func (n *node) fleet() (fleet feed.Fleet) {
 	n.hub.Read(func(board *feed.Board) { fleet = board.Fleet })
 	return fleet
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"ploverhitch/internal/control/standby"
+	"ploverhitch/internal/control/listing"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
@@ -20,10 +20,10 @@
 // its own reader and the calls that come in.
 type listWatch struct {
 	lock  sync.Mutex
-	watch *standby.Watch
+	watch *listing.Watch
 }
 
-func newListWatch(now timetable.Steady) *listWatch { return &listWatch{watch: standby.NewWatch(now)} }
+func newListWatch(now timetable.Steady) *listWatch { return &listWatch{watch: listing.NewWatch(now)} }
 
 func (l *listWatch) hear(told messages.ListRead, now timetable.Steady) {
 	l.lock.Lock()
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/control/standby"
+	"ploverhitch/internal/control/listing"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
@@ -92,7 +92,7 @@
 		b.hub.Publish(feed.News{View: &wide, Fleet: fleet(3, holder, true)})
 		for _, member := range wide.Members[1:] {
 			b.self = member
-			Expect(b.standsBy()).To(Equal(standby.Rank(wide, holder, member) == 0), member)
+			Expect(b.standsBy()).To(Equal(listing.Rank(wide, holder, member) == 0), member)
 		}
 		b.self = "127.0.0.1:9"
 		Expect(b.standsBy()).To(BeFalse())
