--- a/internal/control/listing/pace.go
+++ b/internal/control/listing/pace.go
@@ -14,9 +14,11 @@
 	laterShare  = 0.25
 	// leastRest is the least time between two readings.
 	leastRest = 50 * time.Millisecond
-	// doubt is how many times as long as the last reading the next may take before it
-	// counts as overdue.
-	doubt = 2
+	// PageDue is within which span of a call or of another page a page is due. A call
+	// beside one that hangs comes earlier.
+	PageDue = 300 * time.Millisecond
+	// ProgressPeriod is how often a member tells at most that its reading goes on.
+	ProgressPeriod = 150 * time.Millisecond
 )
 
 // ShareOf is the part of the platform's rate that a member of a rank may take.
@@ -52,13 +54,3 @@
 	}
 	return max(began+timetable.Steady(apart), ended+timetable.Steady(leastRest))
 }
-
-// Expected is within which span of its end the reading after this one is due to be
-// complete.
-//
-// Example:
-//
-//	next := listing.Expected(began, ended, due)
-func Expected(began, ended, due timetable.Steady) time.Duration {
-	return time.Duration(due - ended + doubt*(ended-began))
-}
--- a/internal/control/listing/watch.go
+++ b/internal/control/listing/watch.go
@@ -9,19 +9,19 @@
 )
 
 const (
-	// margin is how long after a reading was due the first member in the order begins
-	// to read, and step how much longer each member after it waits.
+	// margin is how long after a page was due the first member in the order begins to
+	// read, and step how much longer each member after it waits.
 	margin = 150 * time.Millisecond
 	step   = 300 * time.Millisecond
-	// grace is how long after a watch began the first reading is due.
+	// grace is how long after a watch began the first page is due.
 	grace = 1500 * time.Millisecond
 )
 
-// Watch keeps when each member's next complete reading of the list is due.
+// Watch keeps when each member's next page of the list is due.
 type Watch struct {
 	began timetable.Steady
 	due   map[string]timetable.Steady
-	// heard is when a reading of any member was heard of last.
+	// heard is when a page of any member was heard of last.
 	heard timetable.Steady
 	// readAt is when the newest complete reading that is known of began.
 	readAt timetable.Steady
@@ -37,14 +37,22 @@
 	return &Watch{began: now, heard: now, due: map[string]timetable.Steady{}}
 }
 
-// Hear notes a complete reading of a member: how long ago it began, and within which
-// span the member expects to complete its next.
+// Hear notes that a member has read a page, and within which span it is to read the
+// next.
 //
 // Example:
 //
-//	watch.Hear("10.0.0.2:7200", 180*time.Millisecond, 800*time.Millisecond, clock.Steady())
-func (w *Watch) Hear(member string, age, next time.Duration, now timetable.Steady) {
+//	watch.Hear("10.0.0.2:7200", 800*time.Millisecond, clock.Steady())
+func (w *Watch) Hear(member string, next time.Duration, now timetable.Steady) {
 	w.due[member], w.heard = now+timetable.Steady(next), now
+}
+
+// Read notes a whole reading, which began so long ago.
+//
+// Example:
+//
+//	watch.Read(180*time.Millisecond, clock.Steady())
+func (w *Watch) Read(age time.Duration, now timetable.Steady) {
 	if began := now - timetable.Steady(age); !w.isRead || began > w.readAt {
 		w.readAt, w.isRead = began, true
 	}
@@ -60,7 +68,7 @@
 	return time.Duration(now - w.readAt), w.isRead
 }
 
-// Silence is for how long no complete reading of any other member was heard of.
+// Silence is for how long nothing was heard of any member's reading.
 //
 // Example:
 //
@@ -80,8 +88,8 @@
 	return slices.Index(membership.Watchers(view.Members, holder, len(view.Members)), member)
 }
 
-// IsOverdue tells whether a member is to read the list now: nobody else has completed
-// a reading in time, nor has anybody before it in the order begun to.
+// IsOverdue tells whether a member is to read the list now: nobody else has read a page
+// in time, nor has anybody before it in the order begun to.
 //
 // Example:
 //
@@ -94,7 +102,7 @@
 	return now > w.dueFromOthers(self)+timetable.Steady(margin+time.Duration(rank)*step)
 }
 
-// dueFromOthers is by when somebody other than the member was to complete a reading.
+// dueFromOthers is by when somebody other than the member was to read a page.
 func (w *Watch) dueFromOthers(self string) (latest timetable.Steady) {
 	isHeard := false
 	for member, due := range w.due {
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -6,6 +6,8 @@
 
 	"ploverhitch/internal/control/listing"
 	"ploverhitch/internal/feed"
+	"ploverhitch/internal/messages"
+	"ploverhitch/internal/timetable"
 )
 
 const (
@@ -24,6 +26,8 @@
 	*node
 	reader   *listReader
 	failures int
+	// toldAt is when this node last told that it reads the list.
+	toldAt timetable.Steady
 }
 
 // pollPlatform polls the list until the context ends.
@@ -50,8 +54,7 @@
 			return readerLook
 		}
 	}
-	// Who leaves is told page by page: it cannot wait for the rest of the list.
-	p.reader.onPage = p.tellLeaving
+	p.reader.onPage = p.tookPage
 	began := p.clock.Steady()
 	read, err := p.reader.read(ctx)
 	ended := p.clock.Steady()
@@ -63,11 +66,23 @@
 		if isHolder {
 			p.coordinator.loop.Offer(func() { p.coordinator.list(read.servers) })
 		}
-		p.tellRead(time.Duration(ended-read.began), listing.Expected(began, ended, due))
+		p.tellProgress(messages.ListProgress{
+			IsWhole: true, Age: timetable.Span(ended - read.began), Next: timetable.Span(due-ended) + timetable.Span(listing.PageDue),
+		})
 	}
 	return time.Duration(due - ended)
 }
 
+// tookPage tells which servers leave by one page, which cannot wait for the rest of the
+// list, and now and then that the reading goes on.
+func (p *listPoll) tookPage(servers []feed.Server) {
+	p.tellLeaving(servers)
+	if now := p.clock.Steady(); time.Duration(now-p.toldAt) >= listing.ProgressPeriod {
+		p.toldAt = now
+		p.tellProgress(messages.ListProgress{Next: timetable.Span(listing.PageDue)})
+	}
+}
+
 // pace is how often this node may read the list.
 func (p *listPoll) pace(isHolder bool) listing.Pace {
 	set, rank := p.set.Load(), -1
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -25,10 +25,13 @@
 
 func newListWatch(now timetable.Steady) *listWatch { return &listWatch{watch: listing.NewWatch(now)} }
 
-func (l *listWatch) hear(told messages.ListRead, now timetable.Steady) {
+func (l *listWatch) hear(told messages.ListProgress, now timetable.Steady) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.watch.Hear(told.From, told.Age.Std(), told.Next.Std(), now)
+	l.watch.Hear(told.From, told.Next.Std(), now)
+	if told.IsWhole {
+		l.watch.Read(told.Age.Std(), now)
+	}
 }
 
 func (l *listWatch) age(now timetable.Steady) (age time.Duration, ok bool) {
@@ -51,19 +54,19 @@
 }
 
 // standsBy tells whether this node is to read the list in the stead of the holder of
-// the duty: no reading was completed when it was due. Whether the holder is gone, has
+// the duty: no page was read when it was due. Whether the holder is gone, has
 // lost the duty, or is alive and cannot read makes no difference.
 func (n *node) standsBy() bool {
 	view, holder := n.viewAndHolder()
 	return n.listWatch.isOverdue(view, holder, n.self, n.isInContact(), n.clock.Steady())
 }
 
-// tellLeaving tells every member which servers the list shows leaving that the
-// fleet still calls ready. It needs neither a term nor the disk.
+// tellLeaving tells every member which servers the list shows leaving that nobody has
+// told yet. It needs neither a term nor the disk.
 func (n *node) tellLeaving(servers []feed.Server) {
 	var view membership.View
 	var leaving messages.Leaving
-	n.hub.Read(func(board *feed.Board) { view, leaving.IDs = board.View, board.Fleet.StillReady(servers) })
+	n.hub.Read(func(board *feed.Board) { view, leaving.IDs = board.View, board.Untold(servers) })
 	if len(leaving.IDs) == 0 {
 		return
 	}
@@ -78,17 +81,16 @@
 	n.hub.Publish(feed.News{Leaving: in.IDs})
 }
 
-// tellRead tells the other members that this node has read the whole list, how old
-// that reading is, and within which span the next is due.
-func (n *node) tellRead(age, next time.Duration) {
-	told := messages.ListRead{From: n.self, Age: timetable.Span(age), Next: timetable.Span(next)}
+// tellProgress tells the other members that this node reads the list.
+func (n *node) tellProgress(told messages.ListProgress) {
+	told.From = n.self
 	n.listWatch.hear(told, n.clock.Steady())
 	view, _ := n.viewAndHolder()
 	for _, member := range view.Others(n.self) {
-		n.line(member).Send(messages.KindListRead, told, nil)
+		n.line(member).Send(messages.KindListProgress, told, nil)
 	}
 }
 
-func (n *node) onListRead(in messages.ListRead, _ func(messages.Done)) {
+func (n *node) onListProgress(in messages.ListProgress, _ func(messages.Done)) {
 	n.listWatch.hear(in, n.clock.Steady())
 }
--- /dev/null
+++ b/internal/emulator/departure/reader.go
@@ -0,0 +1,199 @@
+package departure
+
+import (
+	"slices"
+	"time"
+
+	"ploverhitch/internal/control/listing"
+	"ploverhitch/internal/emulator/virtual"
+	"ploverhitch/internal/feed"
+)
+
+// reading is a reading of the list under way.
+type reading struct {
+	began     virtual.Time
+	first     virtual.Time
+	page      int
+	servers   []feed.Server
+	calls     int
+	isHolder  bool
+	isResumed bool
+}
+
+// turnLater has the member look after a while whether it is to read the list. Only the
+// newest of these looks counts.
+func (m *member) turnLater(delay time.Duration) {
+	m.turns++
+	turn := m.turns
+	m.later(delay, func() {
+		if turn == m.turns && m.reading == nil {
+			m.turn()
+		}
+	})
+}
+
+func (m *member) turn() {
+	if !m.isHolder && !m.standsBy() {
+		m.turnLater(readerLook)
+		return
+	}
+	now := m.world.Now
+	m.reading = &reading{began: now, first: now, isHolder: m.isHolder}
+	if old := m.rest; old != nil && m.world.options.Guards.IsResumed && now-old.first < resumeSpan {
+		m.reading.first, m.reading.page, m.reading.servers, m.reading.isResumed = old.first, old.page, old.servers, true
+	}
+	m.rest = nil
+	m.askPage(m.reading)
+}
+
+// standsBy tells whether the member is to read in the holder's stead.
+func (m *member) standsBy() bool {
+	w := m.world
+	view, holder := w.view(), m.board.Fleet.Holder
+	if w.options.Guards.IsByReadings {
+		return m.watch.IsOverdue(view, holder, m.name, w.steady())
+	}
+	rank := listing.Rank(view, holder, m.name)
+	if rank < 0 || rank >= watchers {
+		return false
+	}
+	at := slices.Index(view.Members, holder)
+	silence := w.Now - w.members[at].lastBeat()
+	return silence > standbyFrom && silence < standbyTo
+}
+
+// lastBeat is when the member's last heartbeat was sent.
+func (m *member) lastBeat() virtual.Time {
+	if m.isBeating() {
+		m.beatAt = m.world.Now
+	}
+	return m.beatAt
+}
+
+// askPage makes the calls for the page at which the reading stands.
+func (m *member) askPage(r *reading) {
+	began, number, made, failed, isDone := m.world.Now, r.page, 0, 0, false
+	fail := func() {
+		if !isDone {
+			isDone = true
+			m.fail(r)
+		}
+	}
+	var ask func()
+	ask = func() {
+		if isDone || made == pageTries {
+			return
+		}
+		made++
+		r.calls++
+		isTaken := m.world.platform.take()
+		took, isAnswered := m.world.platform.latency(m)
+		switch {
+		case !isTaken:
+			m.later(2*time.Millisecond, func() {
+				if failed++; failed == pageTries {
+					fail()
+					return
+				}
+				m.later(retryPause, ask)
+			})
+		case isAnswered:
+			// The page is as it was half of the way back.
+			m.world.After(took/2, func() {
+				page := slices.Clone(m.world.platform.pages[number])
+				m.later(took-took/2, func() {
+					if !isDone && m.world.Now-began < pageSpan {
+						isDone = true
+						m.gotPage(r, page)
+					}
+				})
+			})
+		}
+		m.later(patience, ask)
+	}
+	ask()
+	m.later(pageSpan, fail)
+}
+
+func (m *member) gotPage(r *reading, page []feed.Server) {
+	if m.reading != r {
+		return
+	}
+	r.isResumed = false
+	r.servers = append(r.servers, page...)
+	if m.world.options.Guards.IsByPage {
+		m.tellLeaving(page)
+	}
+	if m.world.Now-m.toldAt >= listing.ProgressPeriod {
+		m.tellProgress(listing.PageDue)
+	}
+	if r.page++; r.page < len(m.world.platform.pages) {
+		m.askPage(r)
+		return
+	}
+	m.finishReading(r)
+}
+
+// fail ends a reading whose page could not be had.
+func (m *member) fail(r *reading) {
+	if m.reading != r {
+		return
+	}
+	if m.reading = nil; !r.isResumed && r.page > 0 {
+		m.rest = r
+	}
+	if m.failures++; m.failures == failedPolls && r.isHolder {
+		m.failures, m.unfitUntil = 0, max(m.unfitUntil, m.world.Now+unfitSpan)
+	}
+	m.turnLater(m.dueIn(r))
+}
+
+func (m *member) finishReading(r *reading) {
+	w := m.world
+	m.reading, m.failures = nil, 0
+	w.result.readings.record(w.Now - r.first)
+	servers := feed.Settle(nil, r.servers)
+	wait := m.dueIn(r)
+	if r.isHolder {
+		m.listed = servers
+		m.later(max(w.between(2*time.Millisecond, 20*time.Millisecond), m.coordinatorUntil-w.Now), m.publish)
+	}
+	switch {
+	case w.options.Guards.IsByPage:
+	case r.isHolder:
+		m.later(publishPatience, func() { m.tellLeaving(servers) })
+		wait += publishPatience
+	default:
+		m.tellLeaving(servers)
+	}
+	m.tellProgress(wait + listing.PageDue)
+	m.turnLater(wait)
+}
+
+// tellProgress tells every member that this one reads the list.
+func (m *member) tellProgress(next time.Duration) {
+	m.toldAt = m.world.Now
+	m.watch.Hear(m.name, next, m.world.steady())
+	for _, to := range m.world.members {
+		if to != m {
+			m.deliver(to, func() { to.watch.Hear(m.name, next, m.world.steady()) })
+		}
+	}
+}
+
+// dueIn is after how long the member reads again.
+func (m *member) dueIn(r *reading) time.Duration {
+	w := m.world
+	rank := listing.Rank(w.view(), m.board.Fleet.Holder, m.name)
+	if r.isHolder {
+		rank = -1
+	}
+	began, ended := steadyOf(r.began), w.steady()
+	if !w.options.Guards.IsByReadings {
+		// Once the rest was counted from the end of a reading.
+		rest := time.Duration(float64(r.calls) / (listing.HolderShare * w.options.Size.Rate) * float64(time.Second))
+		return max(r.began+pollPeriod-w.Now, rest)
+	}
+	pace := listing.Pace{Period: pollPeriod, Rate: w.options.Size.Rate * listing.ShareOf(rank)}
+	return time.Duration(pace.Next(began, ended, r.calls) - ended)
+}
--- a/internal/emulator/simulation/checks.go
+++ b/internal/emulator/simulation/checks.go
@@ -73,7 +73,7 @@
 
 func (c *checks) fail(kind Kind, format string, values ...any) {
 	if c.err == nil {
-		c.err = &Violation{Kind: kind, At: c.world.now, Run: c.world.options, Detail: fmt.Sprintf(format, values...)}
+		c.err = &Violation{Kind: kind, At: c.world.Now, Run: c.world.options, Detail: fmt.Sprintf(format, values...)}
 	}
 }
 
--- a/internal/emulator/simulation/member.go
+++ b/internal/emulator/simulation/member.go
@@ -74,7 +74,7 @@
 	log, err := storage.Open(m.disk, m.replay)
 	if err != nil {
 		m.isUp = false
-		m.world.after(100*time.Millisecond, func() {
+		m.world.After(100*time.Millisecond, func() {
 			if !m.isUp {
 				m.start()
 			}
@@ -179,7 +179,7 @@
 }
 
 func (m *member) wall() time.Time {
-	return time.UnixMilli(1_700_000_000_000).Add(m.world.now + m.wallOffset)
+	return time.UnixMilli(1_700_000_000_000).Add(m.world.Now + m.wallOffset)
 }
 
 // kill ends the process; what it was writing may have reached the system.
--- a/internal/emulator/simulation/process.go
+++ b/internal/emulator/simulation/process.go
@@ -17,7 +17,7 @@
 // after schedules a function of the present life.
 func (p *process) after(delay Time, run func()) {
 	life := p.life
-	p.world.after(delay, func() { p.deliver(life, run) })
+	p.world.After(delay, func() { p.deliver(life, run) })
 }
 
 // deliver runs a function, at once or after the freeze, if that life lasts.
--- a/internal/emulator/simulation/repair.go
+++ b/internal/emulator/simulation/repair.go
@@ -13,11 +13,11 @@
 // settle keeps the member in the newest view, brings its set up to the others',
 // and rebuilds it where it is not trusted.
 func (m *member) settle(t *task) {
-	began := m.world.now
+	began := m.world.Now
 	for {
 		m.findView(t)
 		if m.view.Has(m.name) && !m.isTrusted {
-			wait := 2*voteSpan - (m.world.now - began)
+			wait := 2*voteSpan - (m.world.Now - began)
 			if wait > 0 && m.world.has(WaitAfterWipe) {
 				t.sleep(wait)
 			}
--- a/internal/emulator/simulation/result.go
+++ b/internal/emulator/simulation/result.go
@@ -32,7 +32,7 @@
 	for _, o := range w.history.operations {
 		_, _ = fmt.Fprintln(digest, o.client, o.call, o.answered, o.isAnswered, o.isDropped, o.input, o.output)
 	}
-	_, _ = fmt.Fprintln(digest, w.sequence, w.now)
+	_, _ = fmt.Fprintln(digest, w.Sequence, w.Now)
 	result.Digest = digest.Sum64()
 	return result
 }
--- a/internal/emulator/simulation/scheduler.go
+++ b/internal/emulator/virtual/scheduler.go
@@ -1,4 +1,7 @@
-package simulation
+// Package virtual is the virtual time in which the emulators run: a scheduler that
+// orders events by their moment, the same for every run of one seed. Only the emulators
+// import it.
+package virtual
 
 import (
 	"container/heap"
@@ -37,27 +40,38 @@
 	return last
 }
 
-// scheduler owns virtual time and the events to come.
-type scheduler struct {
-	now      Time
-	sequence uint64
+// Scheduler owns virtual time and the events to come.
+type Scheduler struct {
+	// Now is the moment that has been reached.
+	Now Time
+	// Sequence counts the events that were scheduled.
+	Sequence uint64
 	queue    eventQueue
 }
 
-// after schedules a function.
-func (s *scheduler) after(delay Time, run func()) {
-	s.sequence++
-	heap.Push(&s.queue, event{s.now + max(0, delay), s.sequence, run})
+// After schedules a function.
+//
+// Example:
+//
+//	scheduler.After(time.Second, func() { tick() })
+func (s *Scheduler) After(delay Time, run func()) {
+	s.Sequence++
+	heap.Push(&s.queue, event{s.Now + max(0, delay), s.Sequence, run})
 }
 
-// step runs the next event before the end; it tells whether there was one.
-func (s *scheduler) step(end Time) bool {
+// Step runs the next event before the end; it tells whether there was one.
+//
+// Example:
+//
+//	for scheduler.Step(30 * time.Second) {
+//	}
+func (s *Scheduler) Step(end Time) bool {
 	if len(s.queue) == 0 || s.queue[0].at > end {
-		s.now = max(s.now, end)
+		s.Now = max(s.Now, end)
 		return false
 	}
 	next := heap.Pop(&s.queue).(event)
-	s.now = next.at
+	s.Now = next.at
 	next.run()
 	return true
 }
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -10,22 +10,29 @@
 // than what a board has seen is out of date by seconds.
 const departedMost = 2048
 
-// StillReady are the servers that a reading of the platform's list shows leaving and
-// the fleet still calls ready.
+// Untold are the servers that a reading of the platform's list shows leaving and that
+// are to be told: those that this board has not seen leave, whether the fleet lists them
+// yet or not, and those that the fleet still calls ready, as what was told before may be
+// lost.
 //
 // Example:
 //
-//	hub.Publish(feed.News{Leaving: fleet.StillReady(servers)})
-func (f Fleet) StillReady(read []Server) (leaving []string) {
+//	hub.Publish(feed.News{Leaving: board.Untold(page)})
+func (b *Board) Untold(read []Server) (leaving []string) {
 	for _, server := range read {
-		if !server.IsReady && f.callsReady(server.ID) {
+		if !server.IsReady && (!b.Leaving[server.ID] || b.Fleet.CallsReady(server.ID)) {
 			leaving = append(leaving, server.ID)
 		}
 	}
 	return leaving
 }
 
-func (f Fleet) callsReady(id string) bool {
+// CallsReady tells whether the fleet lists the server as ready.
+//
+// Example:
+//
+//	isKnown := board.Leaving[id] || !board.Fleet.CallsReady(id)
+func (f Fleet) CallsReady(id string) bool {
 	at, isListed := slices.BinarySearchFunc(f.Servers, id, func(server Server, id string) int { return strings.Compare(server.ID, id) })
 	return isListed && f.Servers[at].IsReady
 }
--- a/internal/messages/telegram.go
+++ b/internal/messages/telegram.go
@@ -48,7 +48,7 @@
 	KindEntries
 	KindLeave
 	KindLeaving
-	KindListRead
+	KindListProgress
 )
 
 // Reserve asks a core node for its vote, under the view's epoch.
@@ -95,12 +95,14 @@
 	IDs []string `cbor:"1,keyasint"`
 }
 
-// ListRead says that a member has read the whole list: how long ago that reading began,
-// and within which span the member expects to complete the next.
-type ListRead struct {
-	From string         `cbor:"1,keyasint"`
-	Age  timetable.Span `cbor:"2,keyasint"`
-	Next timetable.Span `cbor:"3,keyasint"`
+// ListProgress says that a member has read a page of the list, and within which span it
+// is to read the next. Where that was the last page, IsWhole, Age is how long ago the
+// reading began.
+type ListProgress struct {
+	From    string         `cbor:"1,keyasint"`
+	Next    timetable.Span `cbor:"2,keyasint"`
+	IsWhole bool           `cbor:"3,keyasint,omitempty"`
+	Age     timetable.Span `cbor:"4,keyasint,omitempty"`
 }
 
 // Join says that a node with an empty place waits to become a member.
