Takeover: a staged change counts keys with two runs from when its drive began here

Spec: 'halts no staged change for keys with two runs that were known before', fails on the code before with 'a key with two runs is in the records'.

--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -52,8 +52,6 @@
 	gauge   *loadgauge.Gauge
 	copying map[string]*copying
 	eras    uint64
-	// doubled is how many keys with two runs were known as a stage began.
-	doubled int
 	// repeats are the orders that came again, by their subject.
 	repeats map[string]repeat
 }
@@ -67,6 +65,9 @@
 	// full is the first reading in which the new version had everything.
 	full    feed.Reading
 	finding hotbox.Finding
+	// doubled is how many keys with two runs were known here as the drive began: what
+	// this node counted in an earlier term says nothing of the trial.
+	doubled int
 }
 
 const (
@@ -206,7 +207,9 @@
 	}
 	next := &drive{number: state.Number, phase: state.Phase, wave: state.Wave, phaseAt: c.clock.Steady()}
 	if d != nil && d.number == state.Number {
-		next.full, next.finding = d.full, d.finding
+		next.full, next.finding, next.doubled = d.full, d.finding, d.doubled
+	} else {
+		c.store.read(func(t *tables) { next.doubled = t.voter.Doubles() })
 	}
 	c.drives[state.Subject] = next
 	return next
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -75,7 +75,7 @@
 	if c.write(next) != nil {
 		return derail.Gone, ""
 	}
-	c.store.read(func(t *tables) { c.doubled = t.voter.Doubles() })
+	c.driveOf(next)
 	c.publish()
 	return derail.None, ""
 }
@@ -141,7 +141,7 @@
 			isHeld = isHeld && held.Version == item.Version && string(held.Body) == string(item.Body)
 		}
 	})
-	facts.IsDoubled = doubled > c.doubled
+	facts.IsDoubled = doubled > d.doubled
 	facts.IsSuperseded = len(newer) < len(state.Items)
 	for _, node := range state.Reached() {
 		facts.IsUnheard = facts.IsUnheard || !c.court.IsFresh(node, heardSpan)
--- a/internal/control/takeover_test.go
+++ b/internal/control/takeover_test.go
@@ -11,13 +11,16 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/config"
 	"ploverhitch/internal/feed"
+	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/trial"
 )
 
-var _ = Describe("a server that leaves while the duty moves", func() {
+var _ = Describe("a holder that takes the duty", func() {
 	const leaver = "i-1"
 	view := membership.View{Epoch: 1, Members: []string{"a"}}
 	var b *node
@@ -52,7 +55,7 @@
 		b = newMember(hand, view)
 	})
 
-	It("is not called ready again by a node that takes the duty a second time", func() {
+	It("calls no server ready that left while another held it", func() {
 		hold(1)
 		b.coordinator.list([]feed.Server{{ID: leaver, Service: "s", IsReady: true}, {ID: "i-2", Service: "s", IsReady: true}})
 		Eventually(isReady).Should(BeTrue())
@@ -68,6 +71,35 @@
 		Eventually(func() uint64 { b.coordinator.conduct(); return b.fleet().Term }).Should(BeEquivalentTo(3))
 		Expect(isReady()).To(BeFalse(), "the list of this node's earlier term was published again")
 	})
+
+	It("halts no staged change for keys with two runs that were known before", func() {
+		first, second := completed(1, 10), completed(1, 10)
+		second.Attempt = "another"
+		for _, intent := range []idempotency.Intent{first, second} {
+			kept := make(chan messages.Done, 1)
+			b.onRecord(messages.Record{Intent: intent}, func(done messages.Done) { kept <- done })
+			<-kept
+		}
+		staged := trial.State{
+			Subject: trial.StagePrefix + "change", Number: 1, Term: 1, Count: 1, Phase: trial.Trying, Duration: timetable.Span(time.Minute),
+			Items: []config.Item{{ID: config.ID{Class: config.RouteItem, Name: "fee"}, Version: 1, Host: "h"}}, Waves: [][]string{{"edge-1"}},
+		}
+		written := make(chan messages.Done, 1)
+		b.onTrial(messages.Trial{Epoch: 1, State: staged}, func(done messages.Done) { written <- done })
+		Expect((<-written).OK).To(BeTrue())
+		hold(2)
+		b.coordinator.conduct()
+		Expect(b.coordinator.states[staged.Subject].Reason).To(BeEmpty())
+		Expect(b.coordinator.states[staged.Subject].Phase).To(Equal(trial.Trying))
+		// One that comes to light from now on does halt it.
+		third := completed(1, 10)
+		third.Attempt = "a third"
+		kept := make(chan messages.Done, 1)
+		b.onRecord(messages.Record{Intent: third}, func(done messages.Done) { kept <- done })
+		<-kept
+		b.coordinator.conduct()
+		Expect(b.coordinator.states[staged.Subject].Phase).To(Equal(trial.Reverted))
+	})
 })
 
 var _ = Describe("a server that leaves while a reading of the list is held up", func() {
