--- a/cmd/measure/departures.go
+++ b/cmd/measure/departures.go
@@ -42,15 +42,15 @@
 func (c departuresCommand) departures() error {
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	defer out.Flush()
-	_, _ = fmt.Fprintln(out, "scenario\treading\tproxy knows\tlast byte\tlast byte, settled\tof drain left\twent back\tcalls a second")
+	_, _ = fmt.Fprintln(out, "scenario\treading\tpage shows\tmember tells\tproxy knows\tlast byte\tlast byte, settled\tof drain left\twent back\tcalls a second")
 	for _, scenario := range departure.Scenarios() {
 		if c.only != "" && c.only != string(scenario) {
 			continue
 		}
 		all := c.play(scenario)
 		left := 1 - all.SettledLastByte.Most().Seconds()/c.drain.Seconds()
-		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%.0f%%\t%d\t%.1f\n", scenario, quantiles(all.Readings()), quantiles(all.Known),
-			quantiles(all.LastByte), quantiles(all.SettledLastByte), 100*left, all.Regressions, float64(all.Calls)/float64(c.seeds)/departure.RunSpan.Seconds())
+		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.0f%%\t%d\t%.1f\n", scenario, quantiles(all.Readings()), quantiles(all.Read),
+			quantiles(all.Told), quantiles(all.Known), quantiles(all.LastByte), quantiles(all.SettledLastByte), 100*left, all.Regressions, float64(all.Calls)/float64(c.seeds)/departure.RunSpan.Seconds())
 	}
 	return nil
 }
--- a/internal/emulator/departure/member.go
+++ b/internal/emulator/departure/member.go
@@ -126,6 +126,7 @@
 	if !isNew {
 		return
 	}
+	m.world.noteTold(m.board)
 	for _, p := range m.world.proxies {
 		if p.follows(m) {
 			p.hear(m, fresh)
--- a/internal/emulator/departure/options.go
+++ b/internal/emulator/departure/options.go
@@ -15,7 +15,7 @@
 // Scenario is what goes wrong in a run.
 type Scenario string
 
-// The scenarios. In the first six the core counts as settled throughout.
+// The scenarios. In the first seven the core counts as settled throughout.
 const (
 	Calm Scenario = "calm"
 	// PlatformSlow: one call in twenty hangs, and all take longer.
@@ -26,6 +26,8 @@
 	CoordinatorHeld Scenario = "coordinator-held"
 	// LinksFull: news to proxies take three times as long.
 	LinksFull Scenario = "links-full"
+	// Busy: processors are short, at the holder and at the proxies.
+	Busy Scenario = "busy"
 	// DutyMoves: the holder becomes unfit and fit again.
 	DutyMoves Scenario = "duty-moves"
 	// HolderKilled, HolderFrozen and DiskStalled strike the holder.
@@ -42,7 +44,7 @@
 //
 //	for _, scenario := range departure.Scenarios() { run(scenario) }
 func Scenarios() []Scenario {
-	return []Scenario{Calm, PlatformSlow, ReaderStuck, CoordinatorHeld, LinksFull, DutyMoves, HolderKilled, HolderFrozen, DiskStalled, Mixed}
+	return []Scenario{Calm, PlatformSlow, ReaderStuck, CoordinatorHeld, LinksFull, Busy, DutyMoves, HolderKilled, HolderFrozen, DiskStalled, Mixed}
 }
 
 // Guards are the rules of the chain that can be taken out.
--- a/internal/emulator/departure/platform.go
+++ b/internal/emulator/departure/platform.go
@@ -14,6 +14,8 @@
 	id    string
 	shown virtual.Time
 	ends  virtual.Time
+	// isRead and isTold: a page has shown it, and a member has told it.
+	isRead, isTold bool
 }
 
 // platform is the list and the bound on its calls.
@@ -91,6 +93,9 @@
 		return 0, false
 	}
 	took = w.between(6*time.Millisecond, 18*time.Millisecond)
+	if w.Now < w.busyUntil {
+		took += w.between(0, 60*time.Millisecond)
+	}
 	hangs, slow := 0.0005, 0.01
 	if w.Now < w.platformSlowUntil {
 		took, hangs, slow = 2*took, 0.02, 0.1
--- a/internal/emulator/departure/reader.go
+++ b/internal/emulator/departure/reader.go
@@ -121,6 +121,7 @@
 	}
 	r.isResumed = false
 	r.servers = append(r.servers, page...)
+	m.world.noteRead(page)
 	if m.world.options.Guards.IsByPage {
 		m.tellLeaving(page)
 	}
--- a/internal/emulator/departure/result.go
+++ b/internal/emulator/departure/result.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ploverhitch/internal/feed"
 )
 
 const (
@@ -55,6 +57,9 @@
 type Result struct {
 	// readings are how long readings took.
 	readings Spans
+	// Read ends when a page shows the server leaving, Told when the first member tells
+	// its followers.
+	Read, Told Spans
 	// Known ends at the last moment at which a proxy would still have chosen the
 	// server, LastByte when a request sent then reaches it; SettledLastByte is the
 	// same, of moments at which the core is settled.
@@ -71,7 +76,7 @@
 //
 //	all := departure.NewResult()
 func NewResult() Result {
-	return Result{readings: newSpans(), Known: newSpans(), LastByte: newSpans(), SettledLastByte: newSpans()}
+	return Result{readings: newSpans(), Read: newSpans(), Told: newSpans(), Known: newSpans(), LastByte: newSpans(), SettledLastByte: newSpans()}
 }
 
 // Merge adds another run's result.
@@ -81,6 +86,8 @@
 //	all.Merge(departure.Run(options))
 func (r *Result) Merge(other Result) {
 	r.readings.Merge(other.readings)
+	r.Read.Merge(other.Read)
+	r.Told.Merge(other.Told)
 	r.Known.Merge(other.Known)
 	r.LastByte.Merge(other.LastByte)
 	r.SettledLastByte.Merge(other.SettledLastByte)
@@ -98,6 +105,26 @@
 // begin follows a server from the moment when the list shows it leaving.
 func (w *world) begin(leaver *departed) { w.leaving[leaver.id] = leaver }
 
+// noteRead notes what a page shows.
+func (w *world) noteRead(page []feed.Server) {
+	for _, server := range page {
+		if leaver := w.leaving[server.ID]; leaver != nil && !server.IsReady && !leaver.isRead {
+			leaver.isRead = true
+			w.result.Read.record(w.Now - leaver.shown)
+		}
+	}
+}
+
+// noteTold notes what a member's board has come to know.
+func (w *world) noteTold(board *feed.Board) {
+	for id, leaver := range w.leaving {
+		if !leaver.isTold && board.Leaving[id] {
+			leaver.isTold = true
+			w.result.Told.record(w.Now - leaver.shown)
+		}
+	}
+}
+
 // finish measures a server that has ended. A proxy that never saw it leave would have
 // sent to it until then.
 func (w *world) finish(leaver *departed) {
--- a/internal/emulator/departure/world.go
+++ b/internal/emulator/departure/world.go
@@ -28,6 +28,7 @@
 	unsettled         []unsettled
 	platformSlowUntil virtual.Time
 	linksFullUntil    virtual.Time
+	busyUntil         virtual.Time
 	result            Result
 }
 
@@ -75,7 +76,15 @@
 	if w.Now < w.linksFullUntil {
 		delay *= 3
 	}
-	return delay
+	return delay + w.work()
+}
+
+// work is how long a process takes to get at what has come to it.
+func (w *world) work() time.Duration {
+	if w.Now < w.busyUntil {
+		return w.between(20*time.Millisecond, 400*time.Millisecond)
+	}
+	return w.between(0, 10*time.Millisecond)
 }
 
 // sendDelay is how long a request takes from the last look to the server.
@@ -120,6 +129,8 @@
 		victim.coordinatorUntil = w.Now + span
 	case LinksFull:
 		w.linksFullUntil = w.Now + span
+	case Busy:
+		w.busyUntil = w.Now + span
 	case DutyMoves:
 		victim.unfitUntil = w.Now + span
 	case HolderKilled:
