--- a/cmd/measure/measures.go
+++ b/cmd/measure/measures.go
@@ -7,13 +7,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/hotbox"
 	"ploverhitch/internal/idempotency"
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/rpc"
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
 )
 
@@ -71,14 +71,14 @@
 			next.Servers[at].ID += "x"
 		}
 	}
-	home := shunt.Home{Node: "edge-1", Cell: "cell-1", Set: 24}
-	bytes, laid := held(func() *shunt.Yard { return shunt.NewYard(home).Lay(old) })
+	home := balancer.Home{Node: "edge-1", Cell: "cell-1", Set: 24}
+	bytes, laid := held(func() *balancer.Yard { return balancer.NewYard(home).Lay(old) })
 	return result{bytes, repeated(func() { laid.Lay(next) })}
 }
 
 func hear(size int) result {
 	old, next := fleetOf(size, 1, 8), fleetOf(size, 2, 9)
-	laid := shunt.NewYard(shunt.Home{Node: "edge-1", Cell: "cell-1", Set: 24}).Lay(old)
+	laid := balancer.NewYard(balancer.Home{Node: "edge-1", Cell: "cell-1", Set: 24}).Lay(old)
 	return result{0, repeated(func() { laid.Hear(next) })}
 }
 
@@ -157,16 +157,16 @@
 	})}
 }
 
-func reportOf(proxy int, number uint64) hotbox.Report {
-	report := hotbox.Report{Node: fmt.Sprint("edge-", proxy), Life: "a", Number: number}
+func reportOf(proxy int, number uint64) outlier.Report {
+	report := outlier.Report{Node: fmt.Sprint("edge-", proxy), Life: "a", Number: number}
 	for server := range 12 {
-		report.Servers = append(report.Servers, hotbox.ServerRow{ID: fmt.Sprintf("i-%010x", (proxy*7+server)%2000), Tally: hotbox.Tally{3}, Paces: 3, Paced: 3, Tried: 3})
+		report.Servers = append(report.Servers, outlier.ServerRow{ID: fmt.Sprintf("i-%010x", (proxy*7+server)%2000), Tally: outlier.Tally{3}, Paces: 3, Paced: 3, Tried: 3})
 	}
 	return report
 }
 
 func reports(size int) result {
-	court, number := hotbox.NewCourt(timetable.Real()), uint64(0)
+	court, number := outlier.NewCourt(timetable.Real()), uint64(0)
 	bytes := 0
 	for proxy := range size {
 		bytes += written(reportOf(proxy, 1))
@@ -181,8 +181,8 @@
 }
 
 func cutoff(size int) result {
-	gauge := loadgauge.NewGauge(timetable.Real(), func() uint64 { return 1 })
-	loads := []loadgauge.Load{{Service: "a", Offered: 9, Sent: 9, Turned: 3}, {Service: "b", Tier: 1, Offered: 9, Sent: 9}}
+	gauge := shedding.NewGauge(timetable.Real(), func() uint64 { return 1 })
+	loads := []shedding.Load{{Service: "a", Offered: 9, Sent: 9, Turned: 3}, {Service: "b", Tier: 1, Offered: 9, Sent: 9}}
 	return result{size * written(loads), repeated(func() {
 		for proxy := range size {
 			gauge.Hear(fmt.Sprint("edge-", proxy), loads)
--- a/cmd/ploverhitch/main.go
+++ b/cmd/ploverhitch/main.go
@@ -13,14 +13,14 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"ploverhitch/internal/agent"
 	"ploverhitch/internal/control"
 	"ploverhitch/internal/dispatcher"
 	"ploverhitch/internal/inspector"
+	"ploverhitch/internal/logring"
 	"ploverhitch/internal/objects"
 	"ploverhitch/internal/points"
-	"ploverhitch/internal/roundhouse"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/telegraph"
 )
 
 // version is set by the linker for a release.
@@ -40,7 +40,7 @@
 			time.Sleep(set.Platform.Bounds.Grace.Std() / 2)
 			cancel()
 		}()
-		return telegraph.Run(linger, set, path, note)
+		return agent.Run(linger, set, path, note)
 	},
 }
 
@@ -87,7 +87,7 @@
 		return
 	}
 	set.Tune()
-	ring := roundhouse.New(set.Tuning.LogLevel, os.Stderr)
+	ring := logring.New(set.Tuning.LogLevel, os.Stderr)
 	dump := make(chan os.Signal, 1)
 	signal.Notify(dump, syscall.SIGUSR1)
 	go func() {
--- a/internal/telegraph/telegraph.go
+++ b/internal/agent/agent.go
@@ -1,6 +1,6 @@
-// Package telegraph is the agent beside each proxy: it follows the feeds of
+// Package agent is the agent beside each proxy: it follows the feeds of
 // a majority of the core, merges them, and feeds the proxy over loopback.
-package telegraph
+package agent
 
 import (
 	"context"
@@ -34,7 +34,7 @@
 	news feed.News
 }
 
-// desk owns what the telegraph knows.
+// desk owns what the agent knows.
 type desk struct {
 	set       *settings.Settings
 	clock     timetable.Clock
@@ -58,20 +58,20 @@
 	wellAt   timetable.Steady
 }
 
-// LoopbackAddress is where the telegraph of a machine feeds its proxy.
+// LoopbackAddress is where the agent of a machine feeds its proxy.
 //
 // Example:
 //
-//	address := telegraph.LoopbackAddress(set) // "127.0.0.1:7200"
+//	address := agent.LoopbackAddress(set) // "127.0.0.1:7200"
 func LoopbackAddress(set *settings.Settings) string {
 	return set.InternalAddress(set.Tuning.Loopback, 0)
 }
 
-// Run runs a telegraph until the context ends.
+// Run runs an agent until the context ends.
 //
 // Example:
 //
-//	err := telegraph.Run(ctx, set, path, note)
+//	err := agent.Run(ctx, set, path, note)
 func Run(ctx context.Context, set *settings.Settings, path string, note Note) error {
 	d := &desk{
 		set: set, clock: timetable.Real(), hub: feed.NewHub(), loop: timetable.NewLoop[told](256),
@@ -109,7 +109,7 @@
 	d.judge()
 }
 
-// retell brings a core node the items that it lacks and this telegraph holds,
+// retell brings a core node the items that it lacks and this agent holds,
 // as after a loss that was larger than the core can mend by itself.
 func (d *desk) retell(t told) {
 	lacking := config.Book{}
--- a/internal/telegraph/choose.go
+++ b/internal/agent/choose.go
@@ -1,4 +1,4 @@
-package telegraph
+package agent
 
 import (
 	"time"
--- a/internal/telegraph/choose_test.go
+++ b/internal/agent/choose_test.go
@@ -1,4 +1,4 @@
-package telegraph
+package agent
 
 import (
 	"fmt"
@@ -16,9 +16,9 @@
 	"ploverhitch/internal/timetable"
 )
 
-func TestTelegraph(t *testing.T) {
+func TestAgent(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "telegraph")
+	RunSpecs(t, "agent")
 }
 
 func members(count int) (out []string) {
@@ -38,7 +38,7 @@
 	return d, hand
 }
 
-var _ = Describe("whom a telegraph follows", func() {
+var _ = Describe("whom an agent follows", func() {
 	It("is the seeds until it knows a view", func() {
 		d, _ := newDesk("edge-1", membership.View{})
 		Expect(d.wanted()).To(Equal(map[string]bool{"10.0.9.1:7200": true}))
--- a/internal/derail/kinds.go
+++ b/internal/apierror/kinds.go
@@ -1,6 +1,6 @@
-// Package derail is the closed list of what can go wrong with an inquiry or an
+// Package apierror is the closed list of what can go wrong with an inquiry or an
 // operator's call, and the table that says how each kind is answered.
-package derail
+package apierror
 
 import "time"
 
@@ -75,7 +75,7 @@
 //
 // Example:
 //
-//	derail.AnswerOf(derail.NoLane).Status // 404
+//	apierror.AnswerOf(apierror.NoLane).Status // 404
 func AnswerOf(kind Kind) Answer { return answers[kind] }
 
 // Error is a derailment with what is known of it.
@@ -103,5 +103,5 @@
 //
 // Example:
 //
-//	return derail.New(derail.BadManifest, "lane x names no service")
+//	return apierror.New(apierror.BadManifest, "lane x names no service")
 func New(kind Kind, detail string) error { return &Error{Kind: kind, Detail: detail} }
--- a/internal/shunt/allowance.go
+++ b/internal/balancer/allowance.go
@@ -1,4 +1,4 @@
-package shunt
+package balancer
 
 import "sync"
 
--- a/internal/shunt/shunt_test.go
+++ b/internal/balancer/balancer_test.go
@@ -1,4 +1,4 @@
-package shunt_test
+package balancer_test
 
 import (
 	"math/rand/v2"
@@ -8,29 +8,29 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
 )
 
-func TestShunt(t *testing.T) {
+func TestBalancer(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "shunt")
+	RunSpecs(t, "balancer")
 }
 
 var _ = Describe("the budget", func() {
 	It("leaves all nodes together under the common slack, however many they are", func() {
 		for _, proxies := range []int{1, 12, 71, 285, 4000} {
-			Expect(float64(proxies) * shunt.Floor(610, proxies)).To(BeNumerically("<=", 305.001))
+			Expect(float64(proxies) * balancer.Floor(610, proxies)).To(BeNumerically("<=", 305.001))
 		}
-		Expect(shunt.Floor(64, 0)).To(BeNumerically("~", 1.6))
+		Expect(balancer.Floor(64, 0)).To(BeNumerically("~", 1.6))
 	})
 
 	It("never lets the tries of any window pass its share of what was asked", func() {
 		const ratio, floor, window = 0.2, 2.0, 10 * time.Second
 		random := rand.New(rand.NewPCG(6, 6))
 		hand := &timetable.Hand{}
-		budget := shunt.NewBudget(ratio, window, func() float64 { return floor }, hand)
+		budget := balancer.NewBudget(ratio, window, func() float64 { return floor }, hand)
 		var asked, spent []time.Duration
 		within := func(times []time.Duration, from time.Duration) (count float64) {
 			for _, at := range times {
@@ -69,13 +69,13 @@
 
 func fleet(servers ...feed.Server) feed.Fleet { return feed.Fleet{Servers: servers} }
 
-var here = shunt.NewYard(shunt.Home{Node: "n", Cell: "c1"})
+var here = balancer.NewYard(balancer.Home{Node: "n", Cell: "c1"})
 
 func server(id, cell string) feed.Server {
 	return feed.Server{ID: id, Service: "s", Address: "127.0.0.1:1", Cell: cell, Capacity: 2, IsReady: true}
 }
 
-func chosen(yard *shunt.Yard, wish shunt.Wish, hand *timetable.Hand) map[string]int {
+func chosen(yard *balancer.Yard, wish balancer.Wish, hand *timetable.Hand) map[string]int {
 	counts := map[string]int{}
 	for range 200 {
 		if siding := yard.Choose(wish, hand); siding != nil {
@@ -88,21 +88,21 @@
 var _ = Describe("the choice of a server", func() {
 	It("heeds draining, failures, full servers, strangers and cells", func() {
 		hand := &timetable.Hand{}
-		wish := shunt.Wish{Service: "s", Crossing: 5 * time.Millisecond}
+		wish := balancer.Wish{Service: "s", Crossing: 5 * time.Millisecond}
 		draining := server("d", "c1")
 		draining.IsReady = false
 		yard := here.Lay(fleet(server("a", "c1"), server("b", "c2"), draining))
 		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"a": 200}))
 		near := yard.Choose(wish, hand)
 		near.Begin()
-		near.End(shunt.Failed, time.Second, 0, hand.Steady())
+		near.End(balancer.Failed, time.Second, 0, hand.Steady())
 		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"b": 200}))
 		hand.Sleep(time.Second)
 		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"a": 200}))
 		near.Begin()
-		near.End(shunt.Misdirected, 0, 0, hand.Steady())
+		near.End(balancer.Misdirected, 0, 0, hand.Steady())
 		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"b": 200}))
-		wish.Passed = []*shunt.Siding{yard.Choose(wish, hand)}
+		wish.Passed = []*balancer.Siding{yard.Choose(wish, hand)}
 		Expect(yard.Choose(wish, hand)).To(BeNil())
 	})
 
@@ -111,7 +111,7 @@
 		warming := server("w", "c1")
 		warming.WarmMs = hand.Wall().Add(time.Second).UnixMilli()
 		yard := here.Lay(fleet(server("a", "c1"), warming))
-		wish := shunt.Wish{Service: "s"}
+		wish := balancer.Wish{Service: "s"}
 		Expect(chosen(yard, wish, hand)).To(Equal(map[string]int{"a": 200}))
 		busy := yard.Choose(wish, hand)
 		for range 4 {
@@ -123,31 +123,31 @@
 	It("holds no more at a server than its part of the server's connections", func() {
 		hand := &timetable.Hand{}
 		yard := here.Lay(fleet(server("a", "c1")))
-		wish := shunt.Wish{Service: "s", Limit: 2}
+		wish := balancer.Wish{Service: "s", Limit: 2}
 		first := yard.Choose(wish, hand)
 		first.Begin()
 		yard.Choose(wish, hand).Begin()
 		Expect(yard.Choose(wish, hand)).To(BeNil())
 		wish.IsPlaced = true
 		Expect(yard.Choose(wish, hand)).To(BeNil())
-		first.End(shunt.Served, time.Millisecond, 0, hand.Steady())
+		first.End(balancer.Served, time.Millisecond, 0, hand.Steady())
 		Expect(yard.Choose(wish, hand)).NotTo(BeNil())
 	})
 
 	It("knows a fallen site by what is left of it, and by what fails, not by what is busy", func() {
 		hand := &timetable.Hand{}
 		yard := here.Lay(fleet(server("a", "c1"), server("b", "c1"), server("z", "c2")))
-		wish := shunt.Wish{Service: "s"}
+		wish := balancer.Wish{Service: "s"}
 		Expect(yard.IsFallen("s")).To(BeFalse())
 		first := yard.Choose(wish, hand)
 		first.Begin()
-		first.End(shunt.Full, 0, 0, hand.Steady())
+		first.End(balancer.Full, 0, 0, hand.Steady())
 		Expect(yard.IsFallen("s")).To(BeFalse())
 		first.Begin()
-		first.End(shunt.Failed, 0, 0, hand.Steady())
+		first.End(balancer.Failed, 0, 0, hand.Steady())
 		Expect(yard.IsFallen("s")).To(BeTrue())
 		first.Begin()
-		first.End(shunt.Served, time.Millisecond, 0, hand.Steady())
+		first.End(balancer.Served, time.Millisecond, 0, hand.Steady())
 		Expect(yard.IsFallen("s")).To(BeFalse())
 		Expect(yard.Lay(fleet(server("z", "c2"))).IsFallen("s")).To(BeTrue())
 		Expect(here.Lay(fleet(server("z", "c2"))).IsFallen("s")).To(BeFalse())
@@ -156,9 +156,9 @@
 	It("keeps what it learnt of a server when the list says something new", func() {
 		hand := &timetable.Hand{}
 		yard := here.Lay(fleet(server("a", "c1")))
-		yard.Choose(shunt.Wish{Service: "s"}, hand).End(shunt.Misdirected, 0, 0, 0)
+		yard.Choose(balancer.Wish{Service: "s"}, hand).End(balancer.Misdirected, 0, 0, 0)
 		changed := server("a", "c1")
 		changed.Capacity = 9
-		Expect(yard.Lay(fleet(changed)).Choose(shunt.Wish{Service: "s"}, hand)).To(BeNil())
+		Expect(yard.Lay(fleet(changed)).Choose(balancer.Wish{Service: "s"}, hand)).To(BeNil())
 	})
 })
--- a/internal/shunt/budget.go
+++ b/internal/balancer/budget.go
@@ -1,6 +1,6 @@
-// Package shunt decides where an inquiry goes: the choice of a server, the
+// Package balancer decides where an inquiry goes: the choice of a server, the
 // budget of further tries, and admission.
-package shunt
+package balancer
 
 import (
 	"sync"
@@ -45,7 +45,7 @@
 //
 // Example:
 //
-//	floor := shunt.Floor(bounds.RetrySlack, fleet.Proxies)
+//	floor := balancer.Floor(bounds.RetrySlack, fleet.Proxies)
 func Floor(slack, proxies int) float64 {
 	return slackPart * float64(slack) / float64(max(proxiesLeast, proxies))
 }
@@ -54,7 +54,7 @@
 //
 // Example:
 //
-//	budget := shunt.NewBudget(0.2, 10*time.Second, func() float64 { return shunt.Floor(64, 12) }, clock)
+//	budget := balancer.NewBudget(0.2, 10*time.Second, func() float64 { return balancer.Floor(64, 12) }, clock)
 func NewBudget(ratio float64, window time.Duration, floor func() float64, clock timetable.Clock) *Budget {
 	return &Budget{ratio: ratio, floor: floor, step: timetable.Steady(window) / (budgetSteps - 1), steady: clock.Steady}
 }
--- a/internal/shunt/budget_test.go
+++ b/internal/balancer/budget_test.go
@@ -1,4 +1,4 @@
-package shunt_test
+package balancer_test
 
 import (
 	"math/rand/v2"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/timetable"
 )
 
@@ -34,7 +34,7 @@
 		for seed := uint64(1); seed <= 20; seed++ {
 			random := rand.New(rand.NewPCG(seed, 5))
 			hand := &timetable.Hand{}
-			budget := shunt.NewBudget(ratio, window, func() float64 { return 0 }, hand)
+			budget := balancer.NewBudget(ratio, window, func() float64 { return 0 }, hand)
 			requests, tries := make(arrivals, (length+longest).Milliseconds()+1), make(arrivals, (length+longest).Milliseconds()+1)
 			bursts := [][2]time.Duration{}
 			for at := time.Duration(0); at < length; at += time.Duration(2+random.IntN(9)) * time.Second {
--- a/internal/shunt/choose.go
+++ b/internal/balancer/choose.go
@@ -1,4 +1,4 @@
-package shunt
+package balancer
 
 import (
 	"math"
@@ -83,7 +83,7 @@
 //
 // Example:
 //
-//	siding := yard.Choose(shunt.Wish{Service: "paadam"}, clock)
+//	siding := yard.Choose(balancer.Wish{Service: "paadam"}, clock)
 func (y *Yard) Choose(wish Wish, clock timetable.Clock) *Siding {
 	c := &choice{wish: wish, cell: y.home.Cell, now: clock.Steady(), wall: clock.Wall(), least: math.Inf(1)}
 	stand := y.stand(wish.Service)
--- a/internal/shunt/leaving_test.go
+++ b/internal/balancer/leaving_test.go
@@ -1,4 +1,4 @@
-package shunt_test
+package balancer_test
 
 import (
 	"time"
@@ -6,8 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
 )
 
@@ -17,7 +17,7 @@
 		fleet := feed.Fleet{Term: 1, Count: 1, Servers: []feed.Server{
 			{ID: "a", Service: "s", Cell: "z", Capacity: 2, IsReady: true}, {ID: "b", Service: "s", Cell: "z", Capacity: 2, IsReady: true},
 		}}
-		yard := shunt.NewYard(shunt.Home{Node: "n", Cell: "z"}).Lay(fleet)
+		yard := balancer.NewYard(balancer.Home{Node: "n", Cell: "z"}).Lay(fleet)
 		yard.Leave([]string{"a", "unknown"})
 		// What is known of it outlives a reading that still calls it ready.
 		fleet.Count, fleet.Servers[0].Capacity = 2, 3
@@ -26,7 +26,7 @@
 			out := map[string]bool{}
 			for place := range 200 {
 				for _, isPlaced := range []bool{false, true} {
-					out[yard.Choose(shunt.Wish{Service: "s", Place: shunt.PlaceOf("k", string(rune(place))), IsPlaced: isPlaced}, hand).ID] = true
+					out[yard.Choose(balancer.Wish{Service: "s", Place: balancer.PlaceOf("k", string(rune(place))), IsPlaced: isPlaced}, hand).ID] = true
 				}
 			}
 			return out
--- a/internal/shunt/paces_test.go
+++ b/internal/balancer/paces_test.go
@@ -1,4 +1,4 @@
-package shunt_test
+package balancer_test
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
 )
 
@@ -19,10 +19,10 @@
 		for id := range 40 {
 			fleet.Servers = append(fleet.Servers, feed.Server{ID: fmt.Sprintf("i-%02d", id), Service: "s", Cell: "a", Capacity: 2, IsReady: true, Pace: 8})
 		}
-		yard := shunt.NewYard(shunt.Home{Node: "n", Cell: "a"}).Lay(fleet)
-		homes := map[string]*shunt.Siding{}
+		yard := balancer.NewYard(balancer.Home{Node: "n", Cell: "a"}).Lay(fleet)
+		homes := map[string]*balancer.Siding{}
 		for id := range 20 {
-			homes[fmt.Sprint(id)] = yard.Home("s", shunt.PlaceOf(fmt.Sprint(id)))
+			homes[fmt.Sprint(id)] = yard.Home("s", balancer.PlaceOf(fmt.Sprint(id)))
 		}
 		next := feed.Fleet{Term: 1, Count: 2, Servers: slices.Clone(fleet.Servers)}
 		for i := range next.Servers {
@@ -31,12 +31,12 @@
 		next.Servers[7].Pace, next.Servers[9].IsAside = 1, true
 		laid := yard.Lay(next)
 		for id, home := range homes {
-			Expect(laid.Home("s", shunt.PlaceOf(id))).To(BeIdenticalTo(home))
+			Expect(laid.Home("s", balancer.PlaceOf(id))).To(BeIdenticalTo(home))
 		}
 		yard.Hear(next)
 		slow, quick := 0, 0
 		for range 400 {
-			switch yard.Choose(shunt.Wish{Service: "s", Usual: 100 * time.Millisecond}, &timetable.Hand{}).ID {
+			switch yard.Choose(balancer.Wish{Service: "s", Usual: 100 * time.Millisecond}, &timetable.Hand{}).ID {
 			case "i-07":
 				quick++
 			case "i-09":
--- a/internal/shunt/ring.go
+++ b/internal/balancer/ring.go
@@ -1,4 +1,4 @@
-package shunt
+package balancer
 
 import (
 	"hash/fnv"
@@ -15,7 +15,7 @@
 //
 // Example:
 //
-//	wish.Place = shunt.PlaceOf(tenant, key)
+//	wish.Place = balancer.PlaceOf(tenant, key)
 func PlaceOf(parts ...string) Place {
 	sum := fnv.New64a()
 	for _, part := range parts {
@@ -86,7 +86,7 @@
 //
 // Example:
 //
-//	siding := yard.Home("fees", shunt.PlaceOf(tenant, key))
+//	siding := yard.Home("fees", balancer.PlaceOf(tenant, key))
 func (y *Yard) Home(service string, place Place) (home *Siding) {
 	y.stand(service).ring.walk(place, func(siding *Siding) bool {
 		home = siding
--- a/internal/shunt/siding.go
+++ b/internal/balancer/siding.go
@@ -1,13 +1,13 @@
-package shunt
+package balancer
 
 import (
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
-	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 // Siding is one server as this node knows it from its own inquiries. Its
@@ -19,7 +19,7 @@
 
 // learnt is what the node learnt of a server, whatever the list says of it.
 type learnt struct {
-	Rack *coupling.Rack
+	Rack *upstream.Rack
 
 	atWork atomic.Int64
 	// pace is how long its replies take here beside the lane's usual, smoothed,
@@ -55,7 +55,7 @@
 )
 
 func newSiding(server feed.Server) *Siding {
-	s := &Siding{Server: server, learnt: &learnt{Rack: &coupling.Rack{Address: server.Address, Instance: server.ID}}}
+	s := &Siding{Server: server, learnt: &learnt{Rack: &upstream.Rack{Address: server.Address, Instance: server.ID}}}
 	s.hear(server)
 	return s
 }
@@ -105,7 +105,7 @@
 //
 // Example:
 //
-//	siding.End(shunt.Served, took, usual, clock.Steady())
+//	siding.End(balancer.Served, took, usual, clock.Steady())
 func (s *Siding) End(outcome Outcome, took, usual time.Duration, now timetable.Steady) {
 	s.atWork.Add(-1)
 	switch outcome {
--- a/internal/shunt/yard.go
+++ b/internal/balancer/yard.go
@@ -1,4 +1,4 @@
-package shunt
+package balancer
 
 import "ploverhitch/internal/feed"
 
@@ -21,7 +21,7 @@
 //
 // Example:
 //
-//	yard := shunt.NewYard(shunt.Home{Node: "edge-1", Cell: "a", Set: 24})
+//	yard := balancer.NewYard(balancer.Home{Node: "edge-1", Cell: "a", Set: 24})
 func NewYard(home Home) *Yard {
 	return &Yard{home: home, stands: map[string]*stand{}, byID: map[string]*Siding{}}
 }
--- a/internal/headway/headway_test.go
+++ b/internal/bandwidth/bandwidth_test.go
@@ -1,4 +1,4 @@
-package headway_test
+package bandwidth_test
 
 import (
 	"bytes"
@@ -10,13 +10,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/headway"
+	"ploverhitch/internal/bandwidth"
 	"ploverhitch/internal/timetable"
 )
 
-func TestHeadway(t *testing.T) {
+func TestBandwidth(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "headway")
+	RunSpecs(t, "bandwidth")
 }
 
 // wire is a slow plain model of a link: a queue that empties at the link's
@@ -42,27 +42,27 @@
 	It("never lets bulk queue on the link, and passes all of it", func() {
 		link := &wire{hand: hand, perByte: 2 * time.Microsecond}
 		body := bytes.Repeat([]byte("x"), 200_000)
-		count, err := headway.NewTrack(mbps, hand).Writer(link).Write(body)
+		count, err := bandwidth.NewTrack(mbps, hand).Writer(link).Write(body)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(count).To(Equal(len(body)))
 		Expect(link.longest).To(BeNumerically("<", 12*time.Millisecond))
 		Expect(hand.Now).To(BeNumerically("<", 500*time.Millisecond))
-		// Without headway all of it would stand in the queue at once.
+		// Without pacing all of it would stand in the queue at once.
 		bare := &wire{hand: hand, perByte: 2 * time.Microsecond}
 		_, _ = bare.Write(body)
 		Expect(bare.longest).To(BeNumerically(">", 300*time.Millisecond))
 	})
 
 	It("lets bulk yield to short traffic that was noted", func() {
-		track := headway.NewTrack(mbps, hand)
+		track := bandwidth.NewTrack(mbps, hand)
 		track.Note(50_000)
-		track.Pass(headway.Piece)
+		track.Pass(bandwidth.Piece)
 		// The notes take 100 ms, of which 8 ms may still be ahead.
 		Expect(hand.Now).To(BeNumerically("~", 92*time.Millisecond, 2*time.Millisecond))
 	})
 
 	It("reads what follows the first window no faster than the link has room", func() {
-		track := headway.NewTrack(mbps, hand)
+		track := bandwidth.NewTrack(mbps, hand)
 		body := bytes.Repeat([]byte("x"), 100_000)
 		text, err := io.ReadAll(track.Reader(bytes.NewReader(body), int64(len(body)), 60_000))
 		Expect(err).NotTo(HaveOccurred())
@@ -71,18 +71,18 @@
 	})
 
 	It("reads what is on its way already at once, and counts it", func() {
-		track := headway.NewTrack(mbps, hand)
+		track := bandwidth.NewTrack(mbps, hand)
 		_, err := io.ReadAll(track.Reader(bytes.NewReader(make([]byte, 65_000)), 65_000, 60_000))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(hand.Now).To(BeZero())
 		// Other bulk waits until it has passed.
-		track.Pass(headway.Piece)
+		track.Pass(bandwidth.Piece)
 		Expect(hand.Now).To(BeNumerically("~", 125*time.Millisecond, 10*time.Millisecond))
 	})
 
 	It("keeps its distance also where bulk comes piece by piece", func() {
 		link := &wire{hand: hand, perByte: 2 * time.Microsecond}
-		out := headway.NewTrack(mbps, hand).BulkWriter(link)
+		out := bandwidth.NewTrack(mbps, hand).BulkWriter(link)
 		for range 100 {
 			_, err := out.Write(make([]byte, 1000))
 			Expect(err).NotTo(HaveOccurred())
@@ -90,16 +90,16 @@
 		Expect(link.longest).To(BeNumerically("<", 16*time.Millisecond))
 		Expect(hand.Now).To(BeNumerically("~", 215*time.Millisecond, 25*time.Millisecond))
 		// As short traffic it would not have waited at all.
-		_, _ = headway.NewTrack(mbps, hand).Writer(link).Write(make([]byte, 1000))
+		_, _ = bandwidth.NewTrack(mbps, hand).Writer(link).Write(make([]byte, 1000))
 		began := hand.Now
-		_, _ = headway.NewTrack(mbps, hand).Writer(link).Write(make([]byte, 1000))
+		_, _ = bandwidth.NewTrack(mbps, hand).Writer(link).Write(make([]byte, 1000))
 		Expect(hand.Now).To(Equal(began))
 	})
 
 	It("leaves short replies and wide links alone", func() {
-		track := headway.NewTrack(mbps, hand)
+		track := bandwidth.NewTrack(mbps, hand)
 		_, _ = io.ReadAll(track.Reader(bytes.NewReader(make([]byte, 5000)), 5000, 60_000))
-		wide := headway.NewTrack(1000, hand)
+		wide := bandwidth.NewTrack(1000, hand)
 		_, _ = io.ReadAll(wide.Reader(bytes.NewReader(make([]byte, 500_000)), 500_000, 60_000))
 		_, _ = wide.Writer(io.Discard).Write(make([]byte, 500_000))
 		Expect(hand.Now).To(BeZero())
@@ -108,7 +108,7 @@
 
 var _ = Describe("the passing of bulk", func() {
 	It("admits what the link can carry in time, and few senders at once", func() {
-		passing := headway.NewPassing(headway.NewTrack(4, &timetable.Hand{}))
+		passing := bandwidth.NewPassing(bandwidth.NewTrack(4, &timetable.Hand{}))
 		var leaves []func()
 		for range 10 { // 100 kB take 200 ms each
 			if leave, isAdmitted := passing.Enter(100_000, 700*time.Millisecond); isAdmitted {
@@ -133,10 +133,10 @@
 	})
 
 	It("admits a single one, however large, and all on a wide link", func() {
-		passing := headway.NewPassing(headway.NewTrack(4, &timetable.Hand{}))
+		passing := bandwidth.NewPassing(bandwidth.NewTrack(4, &timetable.Hand{}))
 		_, isAdmitted := passing.Enter(100_000_000, time.Millisecond)
 		Expect(isAdmitted).To(BeTrue())
-		wide := headway.NewPassing(headway.NewTrack(1000, &timetable.Hand{}))
+		wide := bandwidth.NewPassing(bandwidth.NewTrack(1000, &timetable.Hand{}))
 		for range 100 {
 			_, isAdmitted = wide.Enter(100_000_000, 0)
 			Expect(isAdmitted).To(BeTrue())
--- a/internal/headway/passing.go
+++ b/internal/bandwidth/passing.go
@@ -1,4 +1,4 @@
-package headway
+package bandwidth
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 //
 // Example:
 //
-//	passing := headway.NewPassing(out)
+//	passing := bandwidth.NewPassing(out)
 func NewPassing(track *Track) *Passing {
 	return &Passing{track: track, slots: make(chan struct{}, sendersAtOnce)}
 }
--- a/internal/headway/stream.go
+++ b/internal/bandwidth/stream.go
@@ -1,4 +1,4 @@
-package headway
+package bandwidth
 
 import "io"
 
--- a/internal/headway/track.go
+++ b/internal/bandwidth/track.go
@@ -1,6 +1,6 @@
-// Package headway keeps distance between the bytes of bulk replies on a
+// Package bandwidth keeps distance between the bytes of bulk replies on a
 // machine's link, so that short inquiries and replies never queue behind them.
-package headway
+package bandwidth
 
 import (
 	"math"
@@ -25,7 +25,7 @@
 }
 
 const (
-	// wideLink is from where on a link needs no headway.
+	// wideLink is from where on a link needs no pacing.
 	wideLink = 200.0
 	// bulkShare is the part of the link that bulk may take.
 	bulkShare = 0.9
@@ -44,7 +44,7 @@
 //
 // Example:
 //
-//	out := headway.NewTrack(set.Platform.Limits.LinkMbps, clock)
+//	out := bandwidth.NewTrack(set.Platform.Limits.LinkMbps, clock)
 func NewTrack(mbps float64, clock timetable.Clock) *Track {
 	t := &Track{clock: clock}
 	if mbps > 0 && mbps < wideLink {
@@ -96,7 +96,7 @@
 //
 // Example:
 //
-//	in.Pass(headway.Piece)
+//	in.Pass(bandwidth.Piece)
 func (t *Track) Pass(bytes int) {
 	if wait := t.take(float64(bytes)/bulkShare) - ahead; wait > 0 {
 		t.clock.Sleep(time.Duration(wait))
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/branchline"
-	"ploverhitch/internal/derail"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/shedding"
 )
 
 // ownItems are the kinds of items of the project's own, apart from the protocol's
@@ -17,7 +17,7 @@
 	check func(body json.RawMessage) error
 }{
 	SiteItem: {"site", func(body json.RawMessage) error { return json.Unmarshal(body, &branchline.Site{}) }},
-	PlanItem: {"plan", func(body json.RawMessage) error { return json.Unmarshal(body, &loadgauge.Plan{}) }},
+	PlanItem: {"plan", func(body json.RawMessage) error { return json.Unmarshal(body, &shedding.Plan{}) }},
 	MirrorItem: {"mirror", func(body json.RawMessage) error {
 		var mirror loopline.Mirror
 		if err := json.Unmarshal(body, &mirror); err != nil {
@@ -49,7 +49,7 @@
 				return nil, bad(own.word+" "+head.Name, err)
 			}
 			if head.Name == "" || head.Revision == 0 {
-				return nil, derail.New(derail.BadManifest, "a "+own.word+" lacks its name or version")
+				return nil, apierror.New(apierror.BadManifest, "a "+own.word+" lacks its name or version")
 			}
 			if err := own.check(body); err != nil {
 				return nil, bad(own.word+" "+head.Name, err)
@@ -58,7 +58,7 @@
 		}
 		for _, m := range call.Remove {
 			if m.Name == "" || m.Revision == 0 {
-				return nil, derail.New(derail.BadManifest, "a removal lacks its name or version")
+				return nil, apierror.New(apierror.BadManifest, "a removal lacks its name or version")
 			}
 			items = append(items, Item{ID: ID{class, m.Name}, Version: m.Revision, Dropped: true})
 		}
@@ -91,25 +91,25 @@
 //
 // Example:
 //
-//	order := loadgauge.Arrange(book.Plan(), routes)
-func (b Book) Plan() (plan loadgauge.Plan) {
-	if plans, _ := own[loadgauge.Plan](b, PlanItem); len(plans) > 0 {
+//	order := shedding.Arrange(book.Plan(), routes)
+func (b Book) Plan() (plan shedding.Plan) {
+	if plans, _ := own[shedding.Plan](b, PlanItem); len(plans) > 0 {
 		plan = plans[0]
 	}
 	return plan
 }
 
 // gaugeKinds is the table from a route's type to its kind in the order of tiers.
-var gaugeKinds = map[RouteKind]loadgauge.Kind{
-	Idempotent: loadgauge.Keyed, Unsafe: loadgauge.Once, Safe: loadgauge.Read, Download: loadgauge.Bulk,
+var gaugeKinds = map[RouteKind]shedding.Kind{
+	Idempotent: shedding.Keyed, Unsafe: shedding.Once, Safe: shedding.Read, Download: shedding.Bulk,
 }
 
 // gaugeLane is what the order of tiers knows of a route.
-func (l *RouteSpec) gaugeLane(host string) loadgauge.Lane {
-	return loadgauge.Lane{Name: l.Name, Host: host, Priority: l.Priority, Kind: gaugeKinds[l.RouteType]}
+func (l *RouteSpec) gaugeLane(host string) shedding.Lane {
+	return shedding.Lane{Name: l.Name, Host: host, Priority: l.Priority, Kind: gaugeKinds[l.RouteType]}
 }
 
-func (b Book) gaugeLanes() (out []loadgauge.Lane) {
+func (b Book) gaugeLanes() (out []shedding.Lane) {
 	b.eachLane(func(lane RouteSpec, host string) { out = append(out, lane.gaugeLane(host)) })
 	return out
 }
@@ -154,7 +154,7 @@
 	if len(mirrors) > 0 {
 		lanes = b.mirrorLanes()
 		if err := loopline.CheckAll(mirrors, lanes, isService, now); err != nil {
-			return derail.New(derail.BadManifest, err.Error())
+			return apierror.New(apierror.BadManifest, err.Error())
 		}
 	}
 	for _, item := range newer {
@@ -170,19 +170,19 @@
 			}
 		}
 		if err != nil {
-			return derail.New(derail.BadManifest, err.Error())
+			return apierror.New(apierror.BadManifest, err.Error())
 		}
 	}
 	return nil
 }
 
 func (b Book) checkPlan(item Item) error {
-	var plan loadgauge.Plan
+	var plan shedding.Plan
 	if err := json.Unmarshal(item.Body, &plan); err != nil {
 		return err
 	}
-	if plans, _ := own[loadgauge.Plan](b, PlanItem); len(plans) > 1 {
-		return derail.New(derail.BadManifest, "plan "+plans[0].Name+" stands beside plan "+plans[1].Name+"; there is one")
+	if plans, _ := own[shedding.Plan](b, PlanItem); len(plans) > 1 {
+		return apierror.New(apierror.BadManifest, "plan "+plans[0].Name+" stands beside plan "+plans[1].Name+"; there is one")
 	}
 	return plan.Check(b.gaugeLanes())
 }
--- a/internal/config/sheet.go
+++ b/internal/config/sheet.go
@@ -5,8 +5,8 @@
 	"sort"
 	"strings"
 
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/shedding"
 )
 
 // Route is a route made ready for the path of a request.
@@ -15,7 +15,7 @@
 	Host    string
 	weights float64
 	// Tier is the route's place in the order of what is turned away.
-	Tier loadgauge.Tier
+	Tier shedding.Tier
 	// Mirror is the order by which its conversations are copied, if there is one.
 	Mirror *Mirror
 }
@@ -66,8 +66,8 @@
 	ranks map[string]int
 	Lanes int
 	// Plan is the operator's plan, Order the order that follows from it.
-	Plan  loadgauge.Plan
-	Order *loadgauge.Order
+	Plan  shedding.Plan
+	Order *shedding.Order
 }
 
 // Compile makes the sheet of a book. Where two accepted changes raced into one
@@ -106,9 +106,9 @@
 
 // layTiers gives every route its place in the order of what is turned away.
 func (s *Sheet) layTiers() {
-	var lanes []loadgauge.Lane
+	var lanes []shedding.Lane
 	s.each(func(lane *Route) { lanes = append(lanes, lane.gaugeLane(lane.Host)) })
-	s.Order = loadgauge.Arrange(s.Plan, lanes)
+	s.Order = shedding.Arrange(s.Plan, lanes)
 	s.each(func(lane *Route) { lane.Tier = s.Order.TierOf(lane.Name) })
 }
 
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -6,7 +6,7 @@
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
-	"ploverhitch/internal/derail"
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/timetable"
 )
 
@@ -142,16 +142,16 @@
 		}
 		var lane RouteSpec
 		if err := json.Unmarshal(item.Body, &lane); err != nil {
-			return derail.New(derail.BadManifest, "lane "+item.ID.Name+": "+err.Error())
+			return apierror.New(apierror.BadManifest, "lane "+item.ID.Name+": "+err.Error())
 		}
 		for _, name := range lane.Services() {
 			if service, isKnown := b[ID{ServiceItem, name}]; !isKnown || service.Dropped {
-				return derail.New(derail.BadManifest, "lane "+lane.Name+" names the unknown service "+name)
+				return apierror.New(apierror.BadManifest, "lane "+lane.Name+" names the unknown service "+name)
 			}
 		}
 		place := item.Host + lane.PathPrefix
 		if other, isTaken := places[place]; isTaken {
-			return derail.New(derail.BadManifest, "lanes "+other+" and "+lane.Name+" share host and prefix")
+			return apierror.New(apierror.BadManifest, "lanes "+other+" and "+lane.Name+" share host and prefix")
 		}
 		places[place] = lane.Name
 	}
--- a/internal/control/accepted.go
+++ b/internal/control/accepted.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/control/registry"
-	"ploverhitch/internal/derail"
 )
 
 // classNames are the operators' words for the classes of items.
@@ -51,7 +51,7 @@
 		}
 	})
 	if len(page.Items) == 0 {
-		return nil, derail.New(derail.UnknownSubject, name)
+		return nil, apierror.New(apierror.UnknownSubject, name)
 	}
 	return page, nil
 }
--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -6,7 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
-	"ploverhitch/internal/derail"
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/rpc"
@@ -117,7 +117,7 @@
 	holder := n.holder()
 	var done messages.Ordered
 	if holder == "" || n.ask(holder, kind, order, &done, orderSpan) != nil {
-		return derail.New(derail.Gone, "the holder of the duty")
+		return apierror.New(apierror.Gone, "the holder of the duty")
 	}
 	return orderError(done)
 }
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/control/registry"
-	"ploverhitch/internal/derail"
 )
 
 // attempt is the draft of one round.
@@ -65,7 +65,7 @@
 func answerOf(err error) error {
 	var conflict *registry.ConflictError
 	if errors.As(err, &conflict) {
-		return derail.New(derail.VersionTaken, conflict.Error())
+		return apierror.New(apierror.VersionTaken, conflict.Error())
 	}
 	return err
 }
--- a/internal/control/catchup.go
+++ b/internal/control/catchup.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/control/registry"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/messages"
 )
@@ -129,7 +129,7 @@
 			n.learnNow(missed.Changes)
 		}
 	}
-	return derail.New(derail.Gone, "the changes come faster than they are read")
+	return apierror.New(apierror.Gone, "the changes come faster than they are read")
 }
 
 // catchUpByPages reads the whole set, and the changes made meanwhile.
@@ -144,7 +144,7 @@
 			return err
 		}
 		if missed.Page == nil {
-			return derail.New(derail.Gone, "a page of the configuration")
+			return apierror.New(apierror.Gone, "a page of the configuration")
 		}
 		if assembly.Add(*missed.Page); number == 0 {
 			first = missed.Page.Index
@@ -166,7 +166,7 @@
 	}
 	set, isWhole := assembly.Finish(changes)
 	if !isWhole {
-		return derail.New(derail.Gone, "the changes made while the configuration was read")
+		return apierror.New(apierror.Gone, "the changes made while the configuration was read")
 	}
 	n.install(set)
 	return nil
--- a/internal/control/contact.go
+++ b/internal/control/contact.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 
-	"ploverhitch/internal/derail"
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/timetable"
@@ -115,7 +115,7 @@
 			n.touch()
 		}
 		if !n.isInContact() || !n.hasNewest() {
-			return nil, derail.New(derail.Gone, "reading this node's state")
+			return nil, apierror.New(apierror.Gone, "reading this node's state")
 		}
 		return point(ctx, request)
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,8 +11,8 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
 )
 
 const callBytes = 32 << 20
@@ -60,10 +60,10 @@
 		text, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, callBytes))
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			return nil, derail.New(derail.TooLarge, err.Error())
+			return nil, apierror.New(apierror.TooLarge, err.Error())
 		}
 		if err != nil {
-			return nil, derail.New(derail.BadManifest, err.Error())
+			return nil, apierror.New(apierror.BadManifest, err.Error())
 		}
 		return parse(text)
 	}
@@ -79,7 +79,7 @@
 		err = order.check()
 	}
 	if err != nil {
-		return derail.New(derail.BadOrder, err.Error())
+		return apierror.New(apierror.BadOrder, err.Error())
 	}
 	return nil
 }
@@ -110,13 +110,13 @@
 
 // writeError answers by the table of kinds.
 func writeError(_ context.Context, err error, w http.ResponseWriter) {
-	kind := derail.Gone
-	var known *derail.Error
+	kind := apierror.Gone
+	var known *apierror.Error
 	if errors.As(err, &known) {
 		kind = known.Kind
 	}
 	text, _ := json.Marshal(map[string]string{"Error": err.Error()})
-	answer := derail.AnswerOf(kind)
+	answer := apierror.AnswerOf(kind)
 	w.Header().Set("Content-Type", "application/json")
 	if answer.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', -1, 64))
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -5,11 +5,11 @@
 	"math/rand/v2"
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/branchline"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/hotbox"
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/outlier"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
 )
@@ -19,7 +19,7 @@
 type coordinator struct {
 	*node
 	loop  *timetable.Loop[func()]
-	court *hotbox.Court
+	court *outlier.Court
 	// term is the one for which states were read; 0 while the duty is not here.
 	term   uint64
 	states map[string]trial.State
@@ -49,7 +49,7 @@
 	laidAt     timetable.Steady
 	// gauge measures the load and decides on cutoffs; copying are the mirrors in
 	// force, of which eras have begun.
-	gauge   *loadgauge.Gauge
+	gauge   *shedding.Gauge
 	copying map[string]*copying
 	eras    uint64
 	// repeats are the orders that came again, by their subject.
@@ -64,7 +64,7 @@
 	phaseAt timetable.Steady
 	// full is the first reading in which the new version had everything.
 	full    feed.Reading
-	finding hotbox.Finding
+	finding outlier.Finding
 	// doubled is how many keys with two runs were known here as the drive began: what
 	// this node counted in an earlier term says nothing of the trial.
 	doubled int
@@ -86,9 +86,9 @@
 
 func newCoordinator(n *node) *coordinator {
 	return &coordinator{
-		node: n, loop: timetable.NewLoop[func()](1024), court: hotbox.NewCourt(n.clock),
+		node: n, loop: timetable.NewLoop[func()](1024), court: outlier.NewCourt(n.clock),
 		states: map[string]trial.State{}, drives: map[string]*drive{}, cells: map[string]string{},
-		copying: map[string]*copying{}, gauge: loadgauge.NewGauge(n.clock, rand.Uint64), repeats: map[string]repeat{},
+		copying: map[string]*copying{}, gauge: shedding.NewGauge(n.clock, rand.Uint64), repeats: map[string]repeat{},
 	}
 }
 
@@ -168,7 +168,7 @@
 // it.
 func (c *coordinator) write(state trial.State) error {
 	if !c.holdsLease(c.term) {
-		return derail.New(derail.Gone, "the lease has ended")
+		return apierror.New(apierror.Gone, "the lease has ended")
 	}
 	c.written++
 	state.Term, state.Count = c.term, c.written
--- a/internal/control/duty_test.go
+++ b/internal/control/duty_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/control/lease"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/membership"
@@ -136,9 +136,9 @@
 			b.store.read(func(t *tables) { kept = len(t.trials) })
 			Expect(kept).To(BeZero(), "a writing was kept after the end of the lease")
 			ordered := make(chan messages.Ordered, 1)
-			b.decide(func(answer messages.Ordered) { ordered <- answer }, func(*coordinator) (derail.Kind, string) { panic("decided without a lease") })
+			b.decide(func(answer messages.Ordered) { ordered <- answer }, func(*coordinator) (apierror.Kind, string) { panic("decided without a lease") })
 			go b.coordinator.run(GinkgoT().Context())
-			Eventually(ordered).Should(Receive(HaveField("Kind", derail.Gone)))
+			Eventually(ordered).Should(Receive(HaveField("Kind", apierror.Gone)))
 		})
 
 		It("goes on under its term once a majority has renewed it, with what it knew", func() {
--- a/internal/control/gauge.go
+++ b/internal/control/gauge.go
@@ -7,8 +7,8 @@
 
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/idempotency"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/settings"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
 )
 
@@ -20,7 +20,7 @@
 // takeGauge begins to measure under this node's term, from the cutoffs that the
 // last holder told a moment ago.
 func (c *coordinator) takeGauge() {
-	c.gauge = loadgauge.NewGauge(c.clock, rand.Uint64)
+	c.gauge = shedding.NewGauge(c.clock, rand.Uint64)
 	c.store.read(func(t *tables) {
 		if t.isHeard(c.clock.Steady(), heldSpan) {
 			c.gauge.Hold(t.fleet.Cutoffs)
@@ -44,7 +44,7 @@
 	return c.court.Strained(group)
 }
 
-func (c *coordinator) cutoffs() []loadgauge.Cutoff {
+func (c *coordinator) cutoffs() []shedding.Cutoff {
 	if !c.isGauging() {
 		return nil
 	}
@@ -69,17 +69,17 @@
 // LoadPage is the order of tiers, the cutoffs in force, and, at the holder of the
 // duty, the load that they were decided on.
 type LoadPage struct {
-	Mode     string              `json:"Mode"`
-	Order    []loadgauge.Rung    `json:"Order"`
-	Cutoffs  []loadgauge.Cutoff  `json:"Cutoffs"`
-	Accounts []loadgauge.Account `json:"Accounts"`
-	IsHolder bool                `json:"IsHolder"`
-	Holder   string              `json:"Holder"`
+	Mode     string             `json:"Mode"`
+	Order    []shedding.Rung    `json:"Order"`
+	Cutoffs  []shedding.Cutoff  `json:"Cutoffs"`
+	Accounts []shedding.Account `json:"Accounts"`
+	IsHolder bool               `json:"IsHolder"`
+	Holder   string             `json:"Holder"`
 }
 
 func (n *node) loadPoint(context.Context, any) (any, error) {
 	c := n.coordinator
-	page := LoadPage{Mode: n.set.Load().Tuning.Loadgauge, Order: []loadgauge.Rung{}, Cutoffs: []loadgauge.Cutoff{}, Accounts: []loadgauge.Account{}, Holder: n.holder()}
+	page := LoadPage{Mode: n.set.Load().Tuning.Loadgauge, Order: []shedding.Rung{}, Cutoffs: []shedding.Cutoff{}, Accounts: []shedding.Account{}, Holder: n.holder()}
 	await(c.loop, func() {
 		if page.IsHolder = c.isMaster(); page.IsHolder {
 			page.Accounts = append(page.Accounts, c.gauge.Accounts()...)
--- a/internal/control/grading.go
+++ b/internal/control/grading.go
@@ -5,8 +5,8 @@
 	"sort"
 	"time"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/trial"
 )
 
@@ -105,7 +105,7 @@
 	for cell, list := range cells {
 		names = append(names, cell)
 		sort.Slice(list, func(x, y int) bool {
-			return shunt.PlaceOf(servers[list[x]].ID) < shunt.PlaceOf(servers[list[y]].ID)
+			return balancer.PlaceOf(servers[list[x]].ID) < balancer.PlaceOf(servers[list[y]].ID)
 		})
 	}
 	sort.Strings(names)
--- a/internal/control/member_test.go
+++ b/internal/control/member_test.go
@@ -13,9 +13,9 @@
 	"ploverhitch/internal/control/registry"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/idempotency"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/storage"
 	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
@@ -102,8 +102,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		b.learnNow([]registry.Change{{Index: 1, Items: []config.Item{{ID: config.ID{Class: config.RouteItem, Name: "fee"}, Version: 1, Host: "h", Body: body}}}})
 		Expect(vote(3, "old")).To(Equal(idempotency.Granted))
-		cutoff := loadgauge.Cutoff{Service: "fees", Number: 1, Seed: 5, Tier: 0, Part: 1}
-		Expect(tell(feed.Fleet{Term: 1, Count: 1, Cutoffs: []loadgauge.Cutoff{cutoff}})).To(BeTrue())
+		cutoff := shedding.Cutoff{Service: "fees", Number: 1, Seed: 5, Tier: 0, Part: 1}
+		Expect(tell(feed.Fleet{Term: 1, Count: 1, Cutoffs: []shedding.Cutoff{cutoff}})).To(BeTrue())
 		Expect(vote(3, "new")).To(Equal(idempotency.Shed))
 		Expect(vote(3, "old")).To(Equal(idempotency.Granted), "the attempt's own vote stands")
 		var held *idempotency.Intent
--- a/internal/control/modify.go
+++ b/internal/control/modify.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/control/registry"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 )
@@ -15,7 +15,7 @@
 const forwardSpan = 350 * time.Millisecond
 
 // errNoDecision says that an order may or may not come to hold.
-var errNoDecision = derail.New(derail.Gone, "keeping the configuration")
+var errNoDecision = apierror.New(apierror.Gone, "keeping the configuration")
 
 // modify takes an operator's call: it is acknowledged once a majority has
 // accepted the change that holds it, or has shown that it holds already.
@@ -34,7 +34,7 @@
 		if n.ask(member, messages.KindPropose, messages.Propose{Items: items}, &done, forwardSpan) != nil {
 			continue
 		}
-		if done.Kind != derail.Gone {
+		if done.Kind != apierror.Gone {
 			return registry.Index(done.Index), orderError(done)
 		}
 	}
@@ -43,10 +43,10 @@
 
 // orderError is what stands against an order, by the answer of the node that decided.
 func orderError(done messages.Ordered) error {
-	if done.Kind == derail.None {
+	if done.Kind == apierror.None {
 		return nil
 	}
-	return derail.New(done.Kind, done.Detail)
+	return apierror.New(done.Kind, done.Detail)
 }
 
 // proposers are the members to offer an order to, in turn: the live holder of the
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
@@ -13,10 +13,10 @@
 // decide lets the holder's loop decide on an order, and answers what stands
 // against it. An order that waited longer than its caller does has no effect: the
 // operator was told so, and may have sent another since.
-func (n *node) decide(answer func(messages.Ordered), decide func(c *coordinator) (derail.Kind, string)) {
+func (n *node) decide(answer func(messages.Ordered), decide func(c *coordinator) (apierror.Kind, string)) {
 	c, cameAt := n.coordinator, n.clock.Steady()
 	isTaken := c.loop.Offer(func() {
-		kind, detail := derail.Gone, "the duty is not here"
+		kind, detail := apierror.Gone, "the duty is not here"
 		switch {
 		case time.Duration(c.clock.Steady()-cameAt) >= orderSpan:
 			detail = "the order waited too long"
@@ -26,16 +26,16 @@
 		answer(messages.Ordered{Kind: kind, Detail: detail})
 	})
 	if !isTaken {
-		answer(messages.Ordered{Kind: derail.Gone})
+		answer(messages.Ordered{Kind: apierror.Gone})
 	}
 }
 
 func (n *node) onOrder(in messages.Order, answer func(messages.Ordered)) {
-	n.decide(answer, func(c *coordinator) (derail.Kind, string) { return c.rollOut(in) })
+	n.decide(answer, func(c *coordinator) (apierror.Kind, string) { return c.rollOut(in) })
 }
 
 // rollOut takes an order for a service's version.
-func (c *coordinator) rollOut(in messages.Order) (kind derail.Kind, detail string) {
+func (c *coordinator) rollOut(in messages.Order) (kind apierror.Kind, detail string) {
 	state, isKnown := c.states[in.Service]
 	if !isKnown {
 		isService := false
@@ -44,31 +44,31 @@
 			isService = isThere && !item.Dropped
 		})
 		if !isService {
-			return derail.UnknownSubject, in.Service
+			return apierror.UnknownSubject, in.Service
 		}
 		state.Subject = in.Service
 	}
 	switch {
 	case state.IsRepeat(in.Target, timetable.Span(in.Duration), c.sinceOrder(state), c.plan()):
 		c.noteRepeat(state)
-		return derail.None, ""
+		return apierror.None, ""
 	case state.Phase.IsActive():
-		return derail.OtherOrder, "version " + state.Target + " is on trial"
+		return apierror.OtherOrder, "version " + state.Target + " is on trial"
 	}
 	next, isDone := state.Order(in.Target, timetable.Span(in.Duration))
 	if !isDone {
-		return derail.OtherOrder, ""
+		return apierror.OtherOrder, ""
 	}
 	if in.Target == state.InForce {
 		next.Phase, next.Reason = trial.Complete, "the version is in force"
 	}
 	c.court.Forget(in.Service, next.Number)
 	if err := c.write(next); err != nil {
-		return derail.Gone, ""
+		return apierror.Gone, ""
 	}
 	c.note("warn", "trial", "subject", in.Service, "phase", next.Phase, "target", in.Target)
 	c.publish()
-	return derail.None, ""
+	return apierror.None, ""
 }
 
 func (c *coordinator) plan() trial.Plan {
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/settings"
 	"ploverhitch/internal/timetable"
@@ -32,7 +32,7 @@
 	for range 5 {
 		hand.Now += 15 * time.Second
 		kind, detail := c.rollOut(messages.Order{Service: "s", Target: "v2", Duration: int64(duration)})
-		if kind != derail.None || c.states["s"].Number != 1 {
+		if kind != apierror.None || c.states["s"].Number != 1 {
 			t.Fatalf("got %v %q, number %d", kind, detail, c.states["s"].Number)
 		}
 	}
@@ -48,10 +48,10 @@
 	c, hand := ordering(trial.State{Subject: subject, Number: 1, Items: items, Phase: trial.Reverted, Reason: haltedReason})
 	for range 3 {
 		hand.Now += 15 * time.Second
-		if kind, detail := c.stage(messages.StageOrder{Name: "change", Items: items}); kind != derail.None {
+		if kind, detail := c.stage(messages.StageOrder{Name: "change", Items: items}); kind != apierror.None {
 			t.Fatalf("stage: got %v %q", kind, detail)
 		}
-		if kind, detail := c.halt(messages.StageOrder{Name: "change", IsHalt: true}); kind != derail.None {
+		if kind, detail := c.halt(messages.StageOrder{Name: "change", IsHalt: true}); kind != apierror.None {
 			t.Fatalf("halt: got %v %q", kind, detail)
 		}
 	}
@@ -63,9 +63,9 @@
 		c.isHolder.Store(true)
 		answered := make(chan messages.Ordered, 1)
 		isDecided := false
-		c.decide(func(ordered messages.Ordered) { answered <- ordered }, func(*coordinator) (derail.Kind, string) {
+		c.decide(func(ordered messages.Ordered) { answered <- ordered }, func(*coordinator) (apierror.Kind, string) {
 			isDecided = true
-			return derail.None, ""
+			return apierror.None, ""
 		})
 		hand.Now += wait
 		ctx, stop := context.WithCancel(context.Background())
@@ -73,7 +73,7 @@
 		ordered := <-answered
 		stop()
 		isRefused := ordered.Detail == "the order waited too long"
-		if isRefused != isLate || isLate && (isDecided || ordered.Kind != derail.Gone) {
+		if isRefused != isLate || isLate && (isDecided || ordered.Kind != apierror.Gone) {
 			t.Fatalf("after %v: got %+v, decided: %v", wait, ordered, isDecided)
 		}
 	}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -4,8 +4,8 @@
 	"errors"
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/control/registry"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/rpc"
@@ -102,7 +102,7 @@
 	go func() {
 		index, err := n.registrar.submit(in.Items)
 		out := messages.Ordered{Index: uint64(index)}
-		var known *derail.Error
+		var known *apierror.Error
 		if errors.As(err, &known) {
 			out.Kind, out.Detail = known.Kind, known.Detail
 		}
--- a/internal/control/reading.go
+++ b/internal/control/reading.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/control/registry"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 )
@@ -49,7 +49,7 @@
 		n.adopt(*newer)
 	}
 	if count < view.Majority() || count == 0 {
-		return nil, derail.New(derail.Gone, "reading the configuration")
+		return nil, apierror.New(apierror.Gone, "reading the configuration")
 	}
 	if isUndecided {
 		// What some have accepted may be decided and acknowledged already.
@@ -76,7 +76,7 @@
 			err = n.catchUp(source)
 		}
 	}
-	return nil, derail.New(derail.Gone, fmt.Sprintf("reading change %d of the configuration: %v", index, err))
+	return nil, apierror.New(apierror.Gone, fmt.Sprintf("reading change %d of the configuration: %v", index, err))
 }
 
 // rebuild makes this replica whole after its memory was lost or grew old: it has
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/control/registry"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/timetable"
@@ -101,7 +101,7 @@
 	select {
 	case r.queue <- o:
 	default:
-		return 0, derail.New(derail.Gone, "too many orders wait")
+		return 0, apierror.New(apierror.Gone, "too many orders wait")
 	}
 	timeout := time.NewTimer(proposeSpan)
 	defer timeout.Stop()
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -8,7 +8,7 @@
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
-	"ploverhitch/internal/derail"
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/timetable"
 )
@@ -43,7 +43,7 @@
 func decodeSubject(_ context.Context, r *http.Request) (any, error) {
 	name := r.PathValue("service")
 	if strings.TrimSpace(name) == "" {
-		return nil, derail.New(derail.UnknownSubject, "")
+		return nil, apierror.New(apierror.UnknownSubject, "")
 	}
 	return name, nil
 }
--- a/internal/control/sites.go
+++ b/internal/control/sites.go
@@ -6,9 +6,9 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/branchline"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/messages"
 )
@@ -93,7 +93,7 @@
 	}
 	tree, err := book.Tree(n.set.Load().Platform.Cells)
 	if err != nil {
-		return nil, derail.New(derail.Gone, err.Error())
+		return nil, apierror.New(apierror.Gone, err.Error())
 	}
 	page.Sites = tree.Sites()
 	return page, nil
@@ -103,7 +103,7 @@
 func (n *node) checkSites(book config.Book) error {
 	_, err := book.Tree(n.set.Load().Platform.Cells)
 	if err != nil {
-		return derail.New(derail.BadManifest, errors.Cause(err).Error())
+		return apierror.New(apierror.BadManifest, errors.Cause(err).Error())
 	}
 	return nil
 }
--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -7,10 +7,10 @@
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
-	"ploverhitch/internal/hotbox"
 	"ploverhitch/internal/messages"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
 )
@@ -38,7 +38,7 @@
 	}
 	items, err := config.ParseModify(order.Change)
 	if err == nil && len(items) == 0 {
-		err = derail.New(derail.BadOrder, "the change has no items")
+		err = apierror.New(apierror.BadOrder, "the change has no items")
 	}
 	return messages.StageOrder{Name: order.Name, First: order.First, Duration: int64(order.Duration), Items: items}, err
 }
@@ -56,12 +56,12 @@
 // StagedState is how a staged change stands. Evidence is there where the holder
 // of the duty could be asked.
 type StagedState struct {
-	State    string            `json:"State"`
-	Phase    string            `json:"Phase"`
-	Wave     int               `json:"Wave"`
-	Waves    [][]string        `json:"Waves"`
-	Reason   string            `json:"Reason,omitempty"`
-	Evidence []hotbox.Evidence `json:"Evidence"`
+	State    string             `json:"State"`
+	Phase    string             `json:"Phase"`
+	Wave     int                `json:"Wave"`
+	Waves    [][]string         `json:"Waves"`
+	Reason   string             `json:"Reason,omitempty"`
+	Evidence []outlier.Evidence `json:"Evidence"`
 }
 
 func (n *node) stagedPoint(_ context.Context, request any) (any, error) {
@@ -76,10 +76,10 @@
 }
 
 // evidence asks the holder of the duty what it knows of a trial.
-func (n *node) evidence(subject string) []hotbox.Evidence {
+func (n *node) evidence(subject string) []outlier.Evidence {
 	told := messages.Evidence{}
 	_ = n.ask(n.holder(), messages.KindEvidence, messages.Evidence{Subject: subject}, &told, askSpan)
-	return append([]hotbox.Evidence{}, told.Lanes...)
+	return append([]outlier.Evidence{}, told.Lanes...)
 }
 
 func (n *node) onEvidence(in messages.Evidence, answer func(messages.Evidence)) {
--- a/internal/control/stages.go
+++ b/internal/control/stages.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/timetable"
@@ -23,7 +23,7 @@
 )
 
 func (n *node) onStage(in messages.StageOrder, answer func(messages.Ordered)) {
-	n.decide(answer, func(c *coordinator) (derail.Kind, string) {
+	n.decide(answer, func(c *coordinator) (apierror.Kind, string) {
 		if in.IsHalt {
 			return c.halt(in)
 		}
@@ -32,25 +32,25 @@
 }
 
 // stage takes an order for a staged change.
-func (c *coordinator) stage(in messages.StageOrder) (kind derail.Kind, detail string) {
+func (c *coordinator) stage(in messages.StageOrder) (kind apierror.Kind, detail string) {
 	subject := trial.StagePrefix + in.Name
 	state := c.states[subject]
 	isSame := state.Number > 0 && sameItems(state.Items, in.Items)
 	if isSame && (state.Phase.IsActive() || c.sinceOrder(state) < 2*c.plan().Ack) {
 		c.noteRepeat(state)
-		return derail.None, ""
+		return apierror.None, ""
 	}
 	for _, other := range c.states {
 		if other.IsStaged() && other.Phase.IsActive() {
-			return derail.OtherOrder, other.Subject + " is under way"
+			return apierror.OtherOrder, other.Subject + " is under way"
 		}
 		if name := other.UsedUp(in.Items); name != "" {
-			return derail.OtherOrder, "the version of " + name + " fell back before and is used up"
+			return apierror.OtherOrder, "the version of " + name + " fell back before and is used up"
 		}
 	}
 	book, err := c.read()
 	if err != nil {
-		return derail.Gone, ""
+		return apierror.Gone, ""
 	}
 	newer, whole, err := book.Accept(in.Items)
 	if err == nil {
@@ -58,45 +58,45 @@
 	}
 	switch {
 	case err != nil:
-		return derail.BadManifest, err.Error()
+		return apierror.BadManifest, err.Error()
 	case len(newer) != len(in.Items):
-		return derail.OtherOrder, "the manifest holds as new a version of an item"
+		return apierror.OtherOrder, "the manifest holds as new a version of an item"
 	}
 	waves := c.waves(in.First)
 	if waves == nil {
-		return derail.UnknownSubject, "node " + in.First + " is not known to be in touch"
+		return apierror.UnknownSubject, "node " + in.First + " is not known to be in touch"
 	}
 	state.Subject = subject
 	next, isDone := state.Order(in.Name, timetable.Span(in.Duration))
 	if !isDone {
-		return derail.OtherOrder, ""
+		return apierror.OtherOrder, ""
 	}
 	next.Items, next.Waves = in.Items, waves
 	if c.write(next) != nil {
-		return derail.Gone, ""
+		return apierror.Gone, ""
 	}
 	c.driveOf(next)
 	c.publish()
-	return derail.None, ""
+	return apierror.None, ""
 }
 
-func (c *coordinator) halt(in messages.StageOrder) (kind derail.Kind, detail string) {
+func (c *coordinator) halt(in messages.StageOrder) (kind apierror.Kind, detail string) {
 	state, isKnown := c.states[trial.StagePrefix+in.Name]
 	if !isKnown {
-		return derail.UnknownSubject, in.Name
+		return apierror.UnknownSubject, in.Name
 	}
 	if !state.Phase.IsActive() && state.Reason == haltedReason {
-		return derail.None, ""
+		return apierror.None, ""
 	}
 	next, isDone := state.Step(trial.Halted, haltedReason, time.Duration(c.clock.Steady()-c.beganAt(state)))
 	if !isDone {
-		return derail.OtherOrder, "it has ended"
+		return apierror.OtherOrder, "it has ended"
 	}
 	if c.write(next) != nil {
-		return derail.Gone, ""
+		return apierror.Gone, ""
 	}
 	c.publish()
-	return derail.None, ""
+	return apierror.None, ""
 }
 
 func sameItems(a, z []config.Item) bool {
--- a/internal/feed/board.go
+++ b/internal/feed/board.go
@@ -1,6 +1,6 @@
 // Package feed brings news to the nodes: a numbered feed that is followed from
 // a place on and starts from a checkpoint. The same feed runs from the core to
-// the telegraphs and from a telegraph to the points beside it.
+// the agents and from an agent to the proxy beside it.
 package feed
 
 import (
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/shedding"
 )
 
 // Grade says whether a server may get inquiries.
@@ -105,8 +105,8 @@
 	Paces []uint32 `cbor:"10,keyasint,omitempty"`
 	// Cutoffs are what all nodes turn away; Mirrors, what they copy. Both are
 	// grants like a share.
-	Cutoffs []loadgauge.Cutoff `cbor:"11,keyasint,omitempty"`
-	Mirrors []loopline.Grant   `cbor:"12,keyasint,omitempty"`
+	Cutoffs []shedding.Cutoff `cbor:"11,keyasint,omitempty"`
+	Mirrors []loopline.Grant  `cbor:"12,keyasint,omitempty"`
 }
 
 // HoldsGrants tells whether the fleet brings grants, which lapse unless they are
--- a/internal/inspector/command.go
+++ b/internal/inspector/command.go
@@ -10,8 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
 )
 
@@ -111,7 +111,7 @@
 }
 
 func (c *Commands) moves(control *Control) (int, error) {
-	forecast, err := control.Forecast(shunt.Change{Service: *c.service, Add: *c.add, Retire: *c.retire})
+	forecast, err := control.Forecast(balancer.Change{Service: *c.service, Add: *c.add, Retire: *c.retire})
 	if err != nil {
 		return Unlooked, err
 	}
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -10,13 +10,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/branchline"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/control"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/inspector"
 	"ploverhitch/internal/messages"
-	"ploverhitch/internal/shunt"
 )
 
 func TestInspector(t *testing.T) {
@@ -92,7 +92,7 @@
 		random := rand.New(rand.NewPCG(8, 8))
 		for range 40 {
 			var before, after feed.Fleet
-			change := shunt.Change{Service: "s"}
+			change := balancer.Change{Service: "s"}
 			for i := range 3 + random.IntN(8) {
 				server := feed.Server{ID: fmt.Sprint("i-", random.Uint32()), Service: "s", IsReady: true}
 				switch {
@@ -106,13 +106,13 @@
 					before.Servers, after.Servers = append(before.Servers, server), append(after.Servers, server)
 				}
 			}
-			old := shunt.NewYard(shunt.Home{}).Lay(before)
+			old := balancer.NewYard(balancer.Home{}).Lay(before)
 			trial := old.Trial(change)
 			listed := fmt.Sprint(old.Names("s"))
 			next := old.Lay(after)
 			moved := 0
 			for i := range 300 {
-				place := shunt.PlaceOf("h", fmt.Sprint("key", i))
+				place := balancer.PlaceOf("h", fmt.Sprint("key", i))
 				from, forecast, to := old.Home("s", place).ID, trial(place), next.Home("s", place).ID
 				Expect(forecast).To(Equal(to))
 				if from != to {
--- a/internal/inspector/load.go
+++ b/internal/inspector/load.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"ploverhitch/internal/control"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/messages"
+	"ploverhitch/internal/shedding"
 )
 
 // Load is the order of tiers, what is turned away, and the nodes by the number of
@@ -54,7 +54,7 @@
 }
 
 // shedOf tells what the cutoffs turn away of a tier.
-func shedOf(tier loadgauge.Tier, cutoffs []loadgauge.Cutoff) string {
+func shedOf(tier shedding.Tier, cutoffs []shedding.Cutoff) string {
 	var out []string
 	for _, cutoff := range cutoffs {
 		switch {
--- a/internal/inspector/moves.go
+++ b/internal/inspector/moves.go
@@ -8,15 +8,15 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/messages"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
 )
 
 // Forecast is what every proxy says of a change before it is made.
 type Forecast struct {
-	Change  shunt.Change     `json:"Change"`
+	Change  balancer.Change  `json:"Change"`
 	Nodes   []messages.Moves `json:"Nodes"`
 	Unheard []string         `json:"Unheard,omitempty"`
 	edges   []edge
@@ -27,8 +27,8 @@
 //
 // Example:
 //
-//	forecast, err := control.Forecast(shunt.Change{Service: "fees", Retire: []string{"i-7"}})
-func (c *Control) Forecast(change shunt.Change) (*Forecast, error) {
+//	forecast, err := control.Forecast(balancer.Change{Service: "fees", Retire: []string{"i-7"}})
+func (c *Control) Forecast(change balancer.Change) (*Forecast, error) {
 	fleet, err := c.Fleet()
 	if err != nil {
 		return nil, err
--- a/internal/roundhouse/ring.go
+++ b/internal/logring/ring.go
@@ -1,6 +1,6 @@
-// Package roundhouse is the log: a ring in memory that is written out when
+// Package logring is the log: a ring in memory that is written out when
 // something goes wrong, and little else.
-package roundhouse
+package logring
 
 import (
 	"io"
@@ -32,7 +32,7 @@
 //
 // Example:
 //
-//	ring := roundhouse.New("warn", os.Stderr)
+//	ring := logring.New("warn", os.Stderr)
 //	ring.Note("info", "a member joined", "member", address)
 func New(level string, out io.Writer) *Ring {
 	parsed, err := log.ParseLevel(level)
--- a/internal/loopline/mirror.go
+++ b/internal/loopline/mirror.go
@@ -13,7 +13,7 @@
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/juju/errors"
 
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/shedding"
 )
 
 // Marker is the header that every copy bears, and that nothing which is to reach
@@ -152,7 +152,7 @@
 //
 //	isCopied := mirror.Draw(tenant, conversation) < grant.Share
 func (m Mirror) Draw(tenant, conversation string) float64 {
-	return loadgauge.Draw(0, m.Name, m.Shadow, tenant, conversation)
+	return shedding.Draw(0, m.Name, m.Shadow, tenant, conversation)
 }
 
 // LifeOf is a node's part of the sum of all lives.
--- a/internal/messages/report.go
+++ b/internal/messages/report.go
@@ -2,20 +2,20 @@
 
 import (
 	"ploverhitch/internal/branchline"
-	"ploverhitch/internal/hotbox"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/outlier"
+	"ploverhitch/internal/shedding"
 )
 
 // Report is what a proxy tells the holder of the duty: what it counted, where
 // it is, and what it has under way at which site.
 type Report struct {
-	Evidence hotbox.Report    `cbor:"1,keyasint"`
+	Evidence outlier.Report   `cbor:"1,keyasint"`
 	Cell     string           `cbor:"2,keyasint,omitempty"`
 	Uses     []branchline.Use `cbor:"3,keyasint,omitempty"`
 	// Loads are what the proxy counted of its load, Mirrored what of its copies,
 	// since the last report that arrived.
-	Loads    []loadgauge.Load `cbor:"4,keyasint,omitempty"`
+	Loads    []shedding.Load  `cbor:"4,keyasint,omitempty"`
 	Mirrored []loopline.Tally `cbor:"5,keyasint,omitempty"`
 }
 
--- a/internal/messages/trials.go
+++ b/internal/messages/trials.go
@@ -1,10 +1,10 @@
 package messages
 
 import (
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
-	"ploverhitch/internal/hotbox"
 	"ploverhitch/internal/membership"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/trial"
 )
 
@@ -46,14 +46,14 @@
 
 // Evidence asks the holder for what it knows of a trial, and is the reply.
 type Evidence struct {
-	Subject string            `cbor:"1,keyasint"`
-	Lanes   []hotbox.Evidence `cbor:"2,keyasint,omitempty"`
+	Subject string             `cbor:"1,keyasint"`
+	Lanes   []outlier.Evidence `cbor:"2,keyasint,omitempty"`
 }
 
 // Ordered is the reply: the kind of what stands against it, or none.
 type Ordered struct {
-	Kind   derail.Kind `cbor:"1,keyasint"`
-	Detail string      `cbor:"2,keyasint,omitempty"`
+	Kind   apierror.Kind `cbor:"1,keyasint"`
+	Detail string        `cbor:"2,keyasint,omitempty"`
 	// Index is the index of the configuration in which an order for it holds.
 	Index uint64 `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/objects/own.go
+++ b/internal/objects/own.go
@@ -8,8 +8,8 @@
 
 	"ploverhitch/internal/branchline"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/loopline"
+	"ploverhitch/internal/shedding"
 )
 
 const (
@@ -68,7 +68,7 @@
 		Revision config.Version `json:"Revision"`
 	}
 	planCall struct {
-		loadgauge.Plan
+		shedding.Plan
 		Revision config.Version `json:"Revision"`
 	}
 	mirrorCall struct {
@@ -92,9 +92,9 @@
 	if err := yaml.UnmarshalStrict(document, &o); err != nil {
 		return errors.Trace(err)
 	}
-	plan := loadgauge.Plan{Name: o.Metadata.Name, Conversation: o.Spec.Conversation}
+	plan := shedding.Plan{Name: o.Metadata.Name, Conversation: o.Spec.Conversation}
 	for _, tier := range o.Spec.Tiers {
-		plan.Tiers = append(plan.Tiers, loadgauge.PlanTier(tier))
+		plan.Tiers = append(plan.Tiers, shedding.PlanTier(tier))
 	}
 	c.own[plansPath] = append(c.own[plansPath], planCall{plan, config.Version(o.Metadata.Generation)})
 	return nil
--- a/internal/hotbox/box.go
+++ b/internal/outlier/box.go
@@ -1,7 +1,7 @@
-// Package hotbox gathers what real replies show of servers and versions, and
+// Package outlier gathers what real replies show of servers and versions, and
 // judges by it. Proxies count outcomes and report them; the holder of the duty
 // sums the reports and compares like with like: the same lane, the same time.
-package hotbox
+package outlier
 
 import (
 	"maps"
@@ -139,7 +139,7 @@
 //
 // Example:
 //
-//	box := hotbox.NewBox()
+//	box := outlier.NewBox()
 func NewBox() *Box {
 	return &Box{rows: map[Mark]Tally{}, servers: map[string]ServerRow{}}
 }
@@ -149,7 +149,7 @@
 //
 // Example:
 //
-//	box.Note(hotbox.Mark{Subject: service, Number: 3, Lane: lane}, hotbox.Good)
+//	box.Note(outlier.Mark{Subject: service, Number: 3, Lane: lane}, outlier.Good)
 func (b *Box) Note(mark Mark, outcome Outcome) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -166,7 +166,7 @@
 //
 // Example:
 //
-//	box.NoteServer("i-7f3a91c2", hotbox.Good, 1.2)
+//	box.NoteServer("i-7f3a91c2", outlier.Good, 1.2)
 func (b *Box) NoteServer(server string, outcome Outcome, pace float64) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
--- a/internal/hotbox/court.go
+++ b/internal/outlier/court.go
@@ -1,4 +1,4 @@
-package hotbox
+package outlier
 
 import (
 	"maps"
@@ -45,7 +45,7 @@
 //
 // Example:
 //
-//	court := hotbox.NewCourt(clock)
+//	court := outlier.NewCourt(clock)
 func NewCourt(clock timetable.Clock) *Court {
 	return &Court{clock: clock, witnesses: map[string]*witness{}, ended: map[Mark]Tally{}, bench: newBench()}
 }
--- a/internal/hotbox/hearing.go
+++ b/internal/outlier/hearing.go
@@ -1,4 +1,4 @@
-package hotbox
+package outlier
 
 import (
 	"fmt"
--- a/internal/hotbox/judge.go
+++ b/internal/outlier/judge.go
@@ -1,4 +1,4 @@
-package hotbox
+package outlier
 
 import "math"
 
@@ -59,7 +59,7 @@
 //
 // Example:
 //
-//	isBad := hotbox.Judge(onTrial, inForce) == hotbox.Unfit
+//	isBad := outlier.Judge(onTrial, inForce) == outlier.Unfit
 func Judge(onTrial, inForce Tally) Verdict {
 	seen := onTrial.Sum()
 	switch {
--- a/internal/hotbox/hotbox_test.go
+++ b/internal/outlier/outlier_test.go
@@ -1,4 +1,4 @@
-package hotbox_test
+package outlier_test
 
 import (
 	"fmt"
@@ -9,13 +9,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/timetable"
 )
 
-func TestHotbox(t *testing.T) {
+func TestOutlier(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "hotbox")
+	RunSpecs(t, "outlier")
 }
 
 var _ = Describe("the judgement", func() {
@@ -24,49 +24,49 @@
 		wrong := 0
 		for range 3000 {
 			usual := random.Float64() * 0.2
-			draw := func(n int, chance float64) (tally hotbox.Tally) {
+			draw := func(n int, chance float64) (tally outlier.Tally) {
 				for range n {
 					if random.Float64() < chance {
-						tally[hotbox.Failed]++
+						tally[outlier.Failed]++
 					} else {
-						tally[hotbox.Good]++
+						tally[outlier.Good]++
 					}
 				}
 				return tally
 			}
-			if hotbox.Judge(draw(10+random.IntN(300), usual), draw(2000, usual)) == hotbox.Unfit {
+			if outlier.Judge(draw(10+random.IntN(300), usual), draw(2000, usual)) == outlier.Unfit {
 				wrong++
 			}
-			Expect(hotbox.Judge(draw(80, 0.45), draw(2000, 0.02))).To(Equal(hotbox.Unfit))
+			Expect(outlier.Judge(draw(80, 0.45), draw(2000, 0.02))).To(Equal(outlier.Unfit))
 		}
 		Expect(wrong).To(BeZero())
 	})
 
 	It("says nothing on a handful, nor of a trouble that both sides have", func() {
-		Expect(hotbox.Judge(hotbox.Tally{0, 5}, hotbox.Tally{100})).To(Equal(hotbox.Open))
-		Expect(hotbox.Judge(hotbox.Tally{50, 50}, hotbox.Tally{500, 500})).To(Equal(hotbox.Fit))
+		Expect(outlier.Judge(outlier.Tally{0, 5}, outlier.Tally{100})).To(Equal(outlier.Open))
+		Expect(outlier.Judge(outlier.Tally{50, 50}, outlier.Tally{500, 500})).To(Equal(outlier.Fit))
 	})
 })
 
 var _ = Describe("the court", func() {
-	mark := hotbox.Mark{Subject: "s", Number: 1, Lane: "l", IsTrial: true}
+	mark := outlier.Mark{Subject: "s", Number: 1, Lane: "l", IsTrial: true}
 
 	It("counts each report once, over restarts, losses and repeats, as a plain sum does", func() {
 		for seed := range uint64(50) {
 			random := rand.New(rand.NewPCG(seed, 4))
-			court := hotbox.NewCourt(&timetable.Hand{})
-			boxes, lives := make([]*hotbox.Box, 4), make([]int, 4)
+			court := outlier.NewCourt(&timetable.Hand{})
+			boxes, lives := make([]*outlier.Box, 4), make([]int, 4)
 			said := make([]uint32, 4)   // all lives' counts, as reported
 			before := make([]uint32, 4) // of lives that are over
-			var last []hotbox.Report
+			var last []outlier.Report
 			for i := range boxes {
-				boxes[i] = hotbox.NewBox()
+				boxes[i] = outlier.NewBox()
 			}
 			for range 300 {
 				i := random.IntN(4)
 				switch random.IntN(8) {
 				case 0:
-					boxes[i], before[i] = hotbox.NewBox(), said[i]
+					boxes[i], before[i] = outlier.NewBox(), said[i]
 					lives[i]++
 				case 1, 2:
 					report := boxes[i].Report(fmt.Sprint(i), fmt.Sprint(lives[i]))
@@ -83,7 +83,7 @@
 						court.Hear(last[len(last)-1])
 					}
 				default:
-					boxes[i].Note(mark, hotbox.Good)
+					boxes[i].Note(mark, outlier.Good)
 				}
 			}
 			sum := uint32(0)
@@ -99,43 +99,43 @@
 	})
 
 	It("finds a lane that alone is bad, and waits for one that was hardly seen", func() {
-		court := hotbox.NewCourt(&timetable.Hand{})
-		box := hotbox.NewBox()
+		court := outlier.NewCourt(&timetable.Hand{})
+		box := outlier.NewBox()
 		note := func(lane string, isTrial bool, good, failed int) {
 			for range good {
-				box.Note(hotbox.Mark{Subject: "s", Number: 1, Lane: lane, IsTrial: isTrial}, hotbox.Good)
+				box.Note(outlier.Mark{Subject: "s", Number: 1, Lane: lane, IsTrial: isTrial}, outlier.Good)
 			}
 			for range failed {
-				box.Note(hotbox.Mark{Subject: "s", Number: 1, Lane: lane, IsTrial: isTrial}, hotbox.Failed)
+				box.Note(outlier.Mark{Subject: "s", Number: 1, Lane: lane, IsTrial: isTrial}, outlier.Failed)
 			}
 		}
 		note("a", false, 1000, 5)
 		note("b", false, 100, 0)
 		note("a", true, 100, 0)
 		court.Hear(box.Report("n", "1"))
-		Expect(court.Hearing("s", 1, 0).Verdict).To(Equal(hotbox.Open))
+		Expect(court.Hearing("s", 1, 0).Verdict).To(Equal(outlier.Open))
 		note("b", true, 10, 0)
 		court.Hear(box.Report("n", "1"))
-		Expect(court.Hearing("s", 1, 0).Verdict).To(Equal(hotbox.Fit))
+		Expect(court.Hearing("s", 1, 0).Verdict).To(Equal(outlier.Fit))
 		note("b", true, 0, 9)
 		court.Hear(box.Report("n", "1"))
 		finding := court.Hearing("s", 1, 0)
-		Expect(finding.Verdict).To(Equal(hotbox.Unfit))
+		Expect(finding.Verdict).To(Equal(outlier.Unfit))
 		Expect(finding.Reason).To(HavePrefix("lane b"))
 	})
 
 	It("sets a server aside that fails more than its like, never a whole service", func() {
 		hand := &timetable.Hand{}
-		court := hotbox.NewCourt(hand)
+		court := outlier.NewCourt(hand)
 		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 		number := 0
 		hear := func(isBad func(id string) bool) {
-			box := hotbox.NewBox()
+			box := outlier.NewBox()
 			for _, id := range ids {
 				for range 10 {
-					outcome := hotbox.Good
+					outcome := outlier.Good
 					if isBad(id) {
-						outcome = hotbox.Failed
+						outcome = outlier.Failed
 					}
 					box.NoteServer(id, outcome, 1)
 				}
--- a/internal/points/branch.go
+++ b/internal/points/branch.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
 )
 
 // lesserPart is how much of the room at another site inquiries may fill that are
@@ -17,9 +17,9 @@
 	probeOne = 40
 )
 
-func (d *delivery) choose() *shunt.Siding {
+func (d *delivery) choose() *balancer.Siding {
 	s := d.sight.Load()
-	wish := shunt.Wish{
+	wish := balancer.Wish{
 		Service: d.one.service, Passed: d.passed, Crossing: d.pace.crossing(d.set.Load().Tuning.CrossingPerKB.Std()),
 		Place: d.one.place, IsPlaced: d.one.isPlaced, Limit: d.limit(), IsTrial: d.mayTry(s), Usual: d.pace.mean(),
 	}
@@ -51,7 +51,7 @@
 
 // chooseWithin chooses a server at the node's own site, or at another one that
 // has room for it, and takes the place there.
-func (d *delivery) chooseWithin(s *sight, wish shunt.Wish) *shunt.Siding {
+func (d *delivery) chooseWithin(s *sight, wish balancer.Wish) *balancer.Siding {
 	mode := d.set.Load().Tuning.Branchline
 	if mode == settings.BranchOff || s.tree == nil {
 		return s.yard.Choose(wish, d.clock)
@@ -65,7 +65,7 @@
 		}
 		return siding
 	}
-	wish.Allows = func(siding *shunt.Siding) bool {
+	wish.Allows = func(siding *balancer.Siding) bool {
 		site := s.tree.SiteOf(siding.ID, siding.Cell)
 		if site == s.site {
 			// What failed when last asked is no place to wait at: without room
@@ -89,7 +89,7 @@
 }
 
 // vacate gives back the place that a try took at its server's site.
-func (d *delivery) vacate(siding *shunt.Siding) {
+func (d *delivery) vacate(siding *balancer.Siding) {
 	if leave, isIn := d.places.LoadAndDelete(siding); isIn {
 		leave.(func())()
 	}
--- a/internal/points/bulk.go
+++ b/internal/points/bulk.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-kit/kit/endpoint"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
+	"ploverhitch/internal/upstream"
 )
 
 // turnShare is the part of the lane's aim that a download may wait for its turn.
@@ -32,18 +32,18 @@
 		}
 		leave, isAdmitted := p.bulk.Enter(pace.size(), aim-pace.mean())
 		if !isAdmitted {
-			return nil, derail.New(derail.Busy, "the link")
+			return nil, apierror.New(apierror.Busy, "the link")
 		}
 		one.leave = leave
 		waiting, cancel := context.WithTimeout(ctx, aim/turnShare)
 		defer cancel()
 		end, isTurn := p.bulk.Turn(waiting)
 		if !isTurn {
-			return nil, derail.New(derail.Busy, "the link")
+			return nil, apierror.New(apierror.Busy, "the link")
 		}
 		end = sync.OnceFunc(end)
 		reply, err := next(ctx, request)
-		if out, isReply := reply.(*coupling.Reply); isReply && out.Rest != nil {
+		if out, isReply := reply.(*upstream.Reply); isReply && out.Rest != nil {
 			// Its sender is answering until the rest has come.
 			out.Rest = &closing{out.Rest, end}
 			one.leave = func() { leave(); end() }
--- a/internal/points/copy.go
+++ b/internal/points/copy.go
@@ -8,11 +8,11 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/loopline"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 // copyOn works through the inbox until the context ends.
@@ -40,12 +40,12 @@
 	}
 	began := time.Now()
 	due := began.Add(job.due)
-	reply, err := p.copier.rack(server).Deliver(coupling.Order{
+	reply, err := p.copier.rack(server).Deliver(upstream.Order{
 		Inquiry: job.inquiry, Due: due, Last: due, Connect: serverConnect, Buffer: buffer, In: p.in, Out: p.out,
 		MaySend: func() bool { return p.mayCopy(job.mirror, server) },
 	})
 	took := time.Since(began)
-	if err != nil && errors.Is(err, coupling.ErrNotSent) {
+	if err != nil && errors.Is(err, upstream.ErrNotSent) {
 		job.record.Miss(job.hash, job.era, "the copy could not be sent")
 		return
 	}
@@ -63,7 +63,7 @@
 // mayCopy looks again, immediately before the first byte is sent: the server must
 // still be listed, under this very address, as one of a shadow that no lane
 // delivers to, and the order must hold.
-func (p *proxy) mayCopy(m *config.Mirror, server *shunt.Siding) bool {
+func (p *proxy) mayCopy(m *config.Mirror, server *balancer.Siding) bool {
 	s := p.sight.Load()
 	now, isThere := s.yard.Find(server.ID)
 	if !isThere || now.Address != server.Address || now.Service != m.Shadow || !now.IsReady || now.IsLeaving() {
@@ -73,7 +73,7 @@
 	return isHeld && s.holdsGrants(p.clock.Steady()) && !s.sheet.IsLive(m.Shadow)
 }
 
-func (c *copied) compare(reply *coupling.Reply, err error, took time.Duration) loopline.Outcome {
+func (c *copied) compare(reply *upstream.Reply, err error, took time.Duration) loopline.Outcome {
 	switch {
 	case err != nil:
 		return loopline.Silent
--- a/internal/points/deliver.go
+++ b/internal/points/deliver.go
@@ -9,23 +9,23 @@
 	"github.com/go-kit/kit/endpoint"
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/apierror"
+	"ploverhitch/internal/balancer"
+	"ploverhitch/internal/bandwidth"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
-	"ploverhitch/internal/headway"
-	"ploverhitch/internal/hotbox"
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/outlier"
+	"ploverhitch/internal/upstream"
 )
 
 // openEnd is the error of a delivery that may have run. The late channel, if
 // there is one, tells what is shown of it later.
 type openEnd struct {
-	kind derail.Kind
+	kind apierror.Kind
 	late chan lateEnd
 }
 
 // Error names the kind.
-func (o *openEnd) Error() string { return derail.New(o.kind, "").Error() }
+func (o *openEnd) Error() string { return apierror.New(o.kind, "").Error() }
 
 const (
 	serverConnect = 250 * time.Millisecond
@@ -48,7 +48,7 @@
 		}
 		p.admitTrial(one)
 		if one.sight.yard.Ready(one.service) == 0 {
-			return nil, derail.New(derail.NoServer, one.service)
+			return nil, apierror.New(apierror.NoServer, one.service)
 		}
 		return next(ctx, request)
 	}
@@ -56,8 +56,8 @@
 
 // result is how one try at one server ended.
 type result struct {
-	siding *shunt.Siding
-	reply  *coupling.Reply
+	siding *balancer.Siding
+	reply  *upstream.Reply
 	err    error
 }
 
@@ -67,12 +67,12 @@
 	one     *inquiry
 	pace    *pace
 	results chan result
-	passed  []*shunt.Siding
+	passed  []*balancer.Siding
 	flying  int
 	sent    int
 	unsent  int
 	// fallback is what the client gets if no further try does better.
-	fallback *coupling.Reply
+	fallback *upstream.Reply
 	// isOpen: a try that may not be repeated was sent, and its outcome is not
 	// known.
 	isOpen bool
@@ -92,7 +92,7 @@
 	d.results = make(chan result, one.lane.MaxAttempts+unsentLimit+1)
 	defer d.sweep()
 	if !d.launch() {
-		return nil, derail.New(derail.Busy, one.service)
+		return nil, apierror.New(apierror.Busy, one.service)
 	}
 	due := time.NewTimer(time.Until(one.due))
 	defer due.Stop()
@@ -124,18 +124,18 @@
 // was launched or is still flying.
 func (d *delivery) judge(got result) (reply any, err error, isEnd bool) {
 	isRepeatable := d.one.lane.IsRepeatable()
-	kind := derail.Broken
+	kind := apierror.Broken
 	switch {
-	case got.err != nil && errors.Is(got.err, coupling.ErrServerLeft):
+	case got.err != nil && errors.Is(got.err, upstream.ErrServerLeft):
 		if d.replace() {
 			return nil, nil, false
 		}
 		if d.sent == 0 && d.flying == 0 {
-			kind = derail.NotExecuted
+			kind = apierror.NotExecuted
 		}
-	case got.err != nil && errors.Is(got.err, coupling.ErrNotSent):
+	case got.err != nil && errors.Is(got.err, upstream.ErrNotSent):
 		if d.sent--; d.sent == 0 && d.flying == 0 {
-			kind = derail.NotExecuted
+			kind = apierror.NotExecuted
 		}
 		if d.unsent++; d.unsent <= unsentLimit && d.flying == 0 && d.launch() {
 			return nil, nil, false
@@ -143,14 +143,14 @@
 	case got.err != nil:
 		d.isOpen = d.isOpen || !isRepeatable
 		if d.isOpen && !d.dedupes() {
-			return nil, &openEnd{kind: derail.Broken}, true
+			return nil, &openEnd{kind: apierror.Broken}, true
 		}
 	case got.reply.IsNotExecuted():
-		kind = derail.NotExecuted
+		kind = apierror.NotExecuted
 		got.reply.Finish(false)
 	case !isRepeatable && isPromise(got.reply.Status):
 		// Without Not-Executed it may have run, and the status would say it did not.
-		return nil, &openEnd{kind: derail.Broken}, true
+		return nil, &openEnd{kind: apierror.Broken}, true
 	case !isRepeatable || got.reply.Status/100 != 5:
 		return got.reply, nil, true
 	default:
@@ -164,9 +164,9 @@
 	}
 	if d.isOpen {
 		// An earlier try may have run: nothing that came later undoes that.
-		return nil, &openEnd{kind: derail.Broken}, true
+		return nil, &openEnd{kind: apierror.Broken}, true
 	}
-	return nil, derail.New(kind, ""), true
+	return nil, apierror.New(kind, ""), true
 }
 
 func (d *delivery) dedupes() bool {
@@ -199,7 +199,7 @@
 	return siding != nil
 }
 
-func (d *delivery) send(siding *shunt.Siding) {
+func (d *delivery) send(siding *balancer.Siding) {
 	d.passed = append(d.passed, siding)
 	d.flying++
 	d.sent++
@@ -209,7 +209,7 @@
 }
 
 // run makes one try, to its end, whether the client still waits or not.
-func (d *delivery) run(siding *shunt.Siding, mark hotbox.Mark) {
+func (d *delivery) run(siding *balancer.Siding, mark outlier.Mark) {
 	late, buffer := lateSafe, int64(d.set.Load().Tuning.BufferBytes)
 	if !d.one.lane.IsRepeatable() {
 		late, buffer = lateKeyed, max(buffer, d.one.sight.sheet.Limits.MaxBodyBytes)
@@ -220,10 +220,10 @@
 	passOn := int64(0)
 	if d.one.lane.RouteType == config.Download && d.in.IsNarrow() {
 		// Checked whole first, it would take the link's time twice.
-		passOn = headway.BulkLeast
+		passOn = bandwidth.BulkLeast
 	}
 	began := d.clock.Steady()
-	reply, err := siding.Rack.Deliver(coupling.Order{
+	reply, err := siding.Rack.Deliver(upstream.Order{
 		Inquiry: d.one.Inquiry, Left: d.breaking(), Due: d.one.due, Last: d.one.due.Add(late), Connect: serverConnect, Buffer: buffer, PassOn: passOn, In: d.in, Out: d.out,
 		IsServing: func() bool { return d.isServing(siding) }, MaySend: d.one.maySend,
 	})
@@ -235,7 +235,7 @@
 		d.strainOf(siding, reply, err, took)
 	}
 	outcome := d.outcomeOf(reply, err)
-	if outcome == shunt.Served {
+	if outcome == balancer.Served {
 		d.pace.learn(took, reply.Length)
 	}
 	d.vacate(siding)
--- a/internal/points/departed_test.go
+++ b/internal/points/departed_test.go
@@ -6,9 +6,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
 )
 
@@ -24,7 +24,7 @@
 	chosen := func() map[string]bool {
 		out := map[string]bool{}
 		for range 100 {
-			out[p.sight.Load().yard.Choose(shunt.Wish{Service: "s"}, hand).ID] = true
+			out[p.sight.Load().yard.Choose(balancer.Wish{Service: "s"}, hand).ID] = true
 		}
 		return out
 	}
--- a/internal/points/ending.go
+++ b/internal/points/ending.go
@@ -5,23 +5,23 @@
 
 	"github.com/juju/errors"
 
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
+	"ploverhitch/internal/apierror"
+	"ploverhitch/internal/upstream"
 )
 
 // lateEnd is what a try showed after its client was answered: a reply, or that
 // nothing ran after all.
 type lateEnd struct {
-	reply  *coupling.Reply
+	reply  *upstream.Reply
 	isFree bool
 }
 
 // late ends an inquiry whose time is up.
 func (d *delivery) late() error {
 	if d.one.lane.IsRepeatable() || d.flying == 0 {
-		return derail.New(derail.Late, "")
+		return apierror.New(apierror.Late, "")
 	}
-	open := &openEnd{kind: derail.Late, late: make(chan lateEnd, 1)}
+	open := &openEnd{kind: apierror.Late, late: make(chan lateEnd, 1)}
 	results, flying, leave, isOpen := d.results, d.flying, d.leave, d.isOpen
 	d.flying, d.leave = 0, func() {}
 	go func() {
@@ -30,7 +30,7 @@
 		for range flying {
 			got := <-results
 			switch {
-			case errors.Is(got.err, coupling.ErrNotSent):
+			case errors.Is(got.err, upstream.ErrNotSent):
 			case got.err != nil:
 				end.isFree = false
 			case got.reply.IsNotExecuted():
--- a/internal/points/inquiry.go
+++ b/internal/points/inquiry.go
@@ -11,17 +11,17 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/apierror"
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/loopline"
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/upstream"
 )
 
 // inquiry is one client's inquiry on its way through the proxy.
 type inquiry struct {
-	*coupling.Inquiry
+	*upstream.Inquiry
 	lane    *config.Route
 	service string
 	sight   *sight
@@ -32,7 +32,7 @@
 	maySend func() bool
 	// place is where the ring of the service puts a keyed operation or a
 	// download.
-	place    shunt.Place
+	place    balancer.Place
 	isPlaced bool
 	// isTrial: it may go to the version on trial.
 	isTrial bool
@@ -52,9 +52,9 @@
 func (i *inquiry) takePlace() {
 	switch i.lane.RouteType {
 	case config.Idempotent:
-		i.place, i.isPlaced = shunt.PlaceOf(i.lane.Host, i.Header.Get(coupling.HeaderKey)), true
+		i.place, i.isPlaced = balancer.PlaceOf(i.lane.Host, i.Header.Get(upstream.HeaderKey)), true
 	case config.Download:
-		i.place, i.isPlaced = shunt.PlaceOf(i.lane.Host, i.Target), true
+		i.place, i.isPlaced = balancer.PlaceOf(i.lane.Host, i.Target), true
 	}
 }
 
@@ -88,7 +88,7 @@
 		p.mirror(one, nil, mayHaveRun(err))
 		return
 	}
-	out := reply.(*coupling.Reply)
+	out := reply.(*upstream.Reply)
 	isBroken, err := p.answer(w, out)
 	p.settleStage(one, out, nil, isBroken)
 	if isBroken {
@@ -107,28 +107,28 @@
 	one := &inquiry{arrived: time.Now(), sight: p.sight.Load(), client: clientOf(r)}
 	limits := one.sight.sheet.Limits
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	attempt := r.Header.Values(coupling.HeaderAttempt)
+	attempt := r.Header.Values(upstream.HeaderAttempt)
 	switch {
 	case !strings.HasPrefix(path, "/"):
-		return nil, derail.New(derail.BadInquiry, "the target is not a path")
+		return nil, apierror.New(apierror.BadInquiry, "the target is not a path")
 	case len(attempt) != 1 || attempt[0] == "":
-		return nil, derail.New(derail.BadInquiry, "one attempt id is needed")
+		return nil, apierror.New(apierror.BadInquiry, "one attempt id is needed")
 	case limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes:
-		return nil, derail.New(derail.HeaderTooLarge, "")
+		return nil, apierror.New(apierror.HeaderTooLarge, "")
 	case len(r.Header.Values(loopline.Marker)) > 0:
-		return nil, derail.New(derail.Shadowed, "")
+		return nil, apierror.New(apierror.Shadowed, "")
 	case !one.sight.isWhole:
-		return nil, derail.New(derail.NoServer, "the manifest is not here yet")
+		return nil, apierror.New(apierror.NoServer, "the manifest is not here yet")
 	}
-	one.sight.findLane(one, r.Host, path, r.Header.Get(coupling.HeaderKey) != "", p.clock.Steady())
+	one.sight.findLane(one, r.Host, path, r.Header.Get(upstream.HeaderKey) != "", p.clock.Steady())
 	if one.lane == nil {
-		return nil, derail.New(derail.NoLane, "")
+		return nil, apierror.New(apierror.NoLane, "")
 	}
 	one.due = one.arrived.Add(one.lane.Timeout.Std())
-	if text := r.Header.Get(coupling.HeaderDeadline); text != "" {
+	if text := r.Header.Get(upstream.HeaderDeadline); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms < 0 {
-			return nil, derail.New(derail.BadInquiry, "the deadline is not a number")
+			return nil, apierror.New(apierror.BadInquiry, "the deadline is not a number")
 		}
 		if due := one.arrived.Add(time.Duration(min(ms, 1<<32)) * time.Millisecond); due.Before(one.due) {
 			one.due = due
@@ -139,12 +139,12 @@
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			return nil, derail.New(derail.TooLarge, "")
+			return nil, apierror.New(apierror.TooLarge, "")
 		}
-		return nil, derail.New(derail.BadInquiry, "the body cannot be read")
+		return nil, apierror.New(apierror.BadInquiry, "the body cannot be read")
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	one.Inquiry = &coupling.Inquiry{
+	one.Inquiry = &upstream.Inquiry{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
 		HasBody: r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead,
 		Attempt: attempt[0],
@@ -164,18 +164,18 @@
 
 // refuse answers by the table of kinds.
 func (p *proxy) refuse(w http.ResponseWriter, r *http.Request, err error) {
-	kind := derail.Broken
-	var known *derail.Error
+	kind := apierror.Broken
+	var known *apierror.Error
 	if errors.As(err, &known) {
 		kind = known.Kind
 	}
-	answer := derail.AnswerOf(kind)
+	answer := apierror.AnswerOf(kind)
 	if known != nil && known.After > 0 {
 		answer.RetryAfter = known.After
 	}
 	header := w.Header()
-	if id := r.Header.Get(coupling.HeaderAttempt); id != "" {
-		header.Set(coupling.HeaderAttempt, id)
+	if id := r.Header.Get(upstream.HeaderAttempt); id != "" {
+		header.Set(upstream.HeaderAttempt, id)
 	}
 	if answer.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', -1, 64))
@@ -192,13 +192,13 @@
 
 // mayHaveRun tells whether an inquiry that ended without a reply may have run.
 func mayHaveRun(err error) bool {
-	var known *derail.Error
-	return errors.Is(err, errLeft) || errors.As(err, &known) && (known.Kind == derail.Broken || known.Kind == derail.Late)
+	var known *apierror.Error
+	return errors.Is(err, errLeft) || errors.As(err, &known) && (known.Kind == apierror.Broken || known.Kind == apierror.Late)
 }
 
 // answer passes a server's reply on. isBroken tells that the server broke off.
-func (p *proxy) answer(w http.ResponseWriter, reply *coupling.Reply) (isBroken bool, err error) {
-	coupling.CopyBack(w.Header(), reply.Header)
+func (p *proxy) answer(w http.ResponseWriter, reply *upstream.Reply) (isBroken bool, err error) {
+	upstream.CopyBack(w.Header(), reply.Header)
 	if reply.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
--- a/internal/points/left_test.go
+++ b/internal/points/left_test.go
@@ -11,15 +11,15 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/apierror"
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/standin"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 // inquiryOn is an inquiry on a route of a kind that the servers may get, and its proxy.
@@ -30,14 +30,14 @@
 	set.Platform.Bounds.RetrySlack = 100
 	set.Platform.Bounds.RetryWindow = timetable.Span(10 * time.Second)
 	p := newProxy(set, timetable.Real(), func(string, string, ...any) {})
-	yard := shunt.NewYard(shunt.Home{Node: "n", Set: 8})
+	yard := balancer.NewYard(balancer.Home{Node: "n", Set: 8})
 	fleet := feed.Fleet{Term: 1, Count: 1, Proxies: 1}
 	for _, server := range servers {
 		fleet.Servers = append(fleet.Servers, feed.Server{ID: server.ID, Service: "s", Address: server.Address(), Capacity: 4, IsReady: true, Revision: "v1"})
 	}
 	p.sight.Store(&sight{sheet: p.sight.Load().sheet, yard: yard.Lay(fleet), proxies: 1})
 	return p, &inquiry{
-		Inquiry: &coupling.Inquiry{Method: "POST", Target: "/a", Host: "h", Header: http.Header{coupling.HeaderAttempt: {"t"}}, Attempt: "t"},
+		Inquiry: &upstream.Inquiry{Method: "POST", Target: "/a", Host: "h", Header: http.Header{upstream.HeaderAttempt: {"t"}}, Attempt: "t"},
 		lane:    &config.Route{RouteSpec: config.RouteSpec{Name: "r", RouteType: kind, MaxAttempts: 3}}, sight: p.sight.Load(), service: "s",
 		arrived: time.Now(), due: time.Now().Add(600 * time.Millisecond), leave: func() {},
 	}
@@ -89,10 +89,10 @@
 		for _, status := range []int{408, 429, 503} {
 			_, one := inquiryOn(config.Unsafe, server)
 			d := &delivery{one: one}
-			_, err, isEnd := d.judge(result{reply: &coupling.Reply{Status: status, Header: http.Header{}}})
+			_, err, isEnd := d.judge(result{reply: &upstream.Reply{Status: status, Header: http.Header{}}})
 			var open *openEnd
 			Expect(errors.As(err, &open)).To(BeTrue(), "%d: %v", status, err)
-			Expect(open.kind).To(Equal(derail.Broken))
+			Expect(open.kind).To(Equal(apierror.Broken))
 			Expect(isEnd).To(BeTrue())
 		}
 	})
@@ -102,7 +102,7 @@
 		a := &attempt{proxy: p, one: one, ungranted: map[string]bool{}}
 		a.intent = idempotency.Intent{Key: idempotency.Key{Tenant: "h", Key: "k"}, State: idempotency.Reserved}
 		a.round = idempotency.NewRound(a.intent.Hash, 1, p.clock.Steady(), timetable.Steady(time.Second))
-		long := &coupling.Reply{Status: 200, Header: http.Header{}, Body: []byte("part"), Rest: io.NopCloser(strings.NewReader("rest"))}
+		long := &upstream.Reply{Status: 200, Header: http.Header{}, Body: []byte("part"), Rest: io.NopCloser(strings.NewReader("rest"))}
 		reply, err := a.forward(context.Background(), func(context.Context, any) (any, error) { return long, nil })
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply).To(BeIdenticalTo(long))
--- a/internal/points/members_test.go
+++ b/internal/points/members_test.go
@@ -9,13 +9,13 @@
 	. "github.com/onsi/gomega"
 
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/rpc"
 	"ploverhitch/internal/settings"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 var _ = Describe("a round of calls to the members", func() {
@@ -38,7 +38,7 @@
 		}
 		p.sight.Store(&sight{sheet: p.sight.Load().sheet, yard: p.sight.Load().yard, view: view})
 		one := &inquiry{
-			Inquiry: &coupling.Inquiry{Header: http.Header{}, Attempt: "t"}, lane: &config.Route{}, sight: p.sight.Load(),
+			Inquiry: &upstream.Inquiry{Header: http.Header{}, Attempt: "t"}, lane: &config.Route{}, sight: p.sight.Load(),
 			due: time.Now().Add(time.Second), arrived: time.Now(),
 		}
 		one.key = idempotency.Key{Tenant: "h", Key: "k"}
--- a/internal/points/mirror.go
+++ b/internal/points/mirror.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/messages"
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/upstream"
 )
 
 const (
@@ -28,11 +28,11 @@
 type copied struct {
 	mirror  *config.Mirror
 	record  *loopline.Record
-	inquiry *coupling.Inquiry
+	inquiry *upstream.Inquiry
 	lane    *config.Route
 	hash    uint64
 	era     uint64
-	place   shunt.Place
+	place   balancer.Place
 	due     time.Duration
 	// The original's reply: its status, its length, the digest of its body if all
 	// of that was at hand, and how long it took.
@@ -49,11 +49,11 @@
 	inbox   chan copied
 	lock    sync.Mutex
 	records map[string]*loopline.Record
-	racks   map[string]*coupling.Rack
+	racks   map[string]*upstream.Rack
 }
 
 func newCopier() *copier {
-	return &copier{inbox: make(chan copied, copyInbox), records: map[string]*loopline.Record{}, racks: map[string]*coupling.Rack{}}
+	return &copier{inbox: make(chan copied, copyInbox), records: map[string]*loopline.Record{}, racks: map[string]*upstream.Rack{}}
 }
 
 // keep closes the connections to servers that are no longer listed under their address.
@@ -89,13 +89,13 @@
 }
 
 // rack holds the connections to one shadow server, apart from all others.
-func (c *copier) rack(server *shunt.Siding) *coupling.Rack {
+func (c *copier) rack(server *balancer.Siding) *upstream.Rack {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	name := rackName(server.Server)
 	rack := c.racks[name]
 	if rack == nil {
-		rack = &coupling.Rack{Address: server.Address, Instance: server.ID, Window: copyWindow}
+		rack = &upstream.Rack{Address: server.Address, Instance: server.ID, Window: copyWindow}
 		c.racks[name] = rack
 	}
 	return rack
@@ -104,7 +104,7 @@
 // mirror offers the copy of an inquiry that has ended, once its client has the
 // reply. reply is nil where none came; isOpen tells that it may have run all the
 // same.
-func (p *proxy) mirror(one *inquiry, reply *coupling.Reply, isOpen bool) {
+func (p *proxy) mirror(one *inquiry, reply *upstream.Reply, isOpen bool) {
 	if one == nil || one.lane == nil || one.lane.Mirror == nil || one.isReplayed || reply == nil && !isOpen {
 		return
 	}
@@ -133,7 +133,7 @@
 		return
 	}
 	job := copied{
-		mirror: m, record: record, lane: one.lane, hash: hash, era: era, place: shunt.Place(hash), due: time.Until(one.due) + time.Since(one.arrived),
+		mirror: m, record: record, lane: one.lane, hash: hash, era: era, place: balancer.Place(hash), due: time.Until(one.due) + time.Since(one.arrived),
 		status: reply.Status, length: reply.Length, tookLive: one.took,
 	}
 	if job.hasBody = reply.Rest == nil; job.hasBody {
--- a/internal/points/mirror_test.go
+++ b/internal/points/mirror_test.go
@@ -8,11 +8,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
 )
 
@@ -27,7 +27,7 @@
 		one, two := feed.Server{ID: "x-1", Address: "a:1"}, feed.Server{ID: "x-2", Address: "a:2"}
 		racks := map[string]any{}
 		for _, server := range []feed.Server{one, two} {
-			racks[server.ID] = c.rack(&shunt.Siding{Server: server})
+			racks[server.ID] = c.rack(&balancer.Siding{Server: server})
 		}
 		c.keep([]feed.Server{two, one})
 		Expect(c.racks).To(HaveLen(2))
@@ -35,8 +35,8 @@
 		moved.Address = "a:9"
 		c.keep([]feed.Server{moved, two})
 		Expect(c.racks).To(HaveLen(1))
-		Expect(c.rack(&shunt.Siding{Server: two})).To(BeIdenticalTo(racks["x-2"]))
-		Expect(c.rack(&shunt.Siding{Server: one})).NotTo(BeIdenticalTo(racks["x-1"]))
+		Expect(c.rack(&balancer.Siding{Server: two})).To(BeIdenticalTo(racks["x-2"]))
+		Expect(c.rack(&balancer.Siding{Server: one})).NotTo(BeIdenticalTo(racks["x-1"]))
 	})
 })
 
@@ -50,7 +50,7 @@
 		book.Merge([]config.Item{{ID: config.ID{Class: config.RouteItem, Name: "fee"}, Version: 1, Host: "h", Body: body}})
 		fleet := feed.Fleet{Term: 1, Count: 1, Servers: []feed.Server{{ID: "x-1", Service: service, Address: address, Capacity: 2, IsReady: isReady}}}
 		return &sight{
-			sheet: book.Compile(), yard: shunt.NewYard(shunt.Home{Node: "n"}).Lay(fleet), heard: timetable.Steady(time.Hour),
+			sheet: book.Compile(), yard: balancer.NewYard(balancer.Home{Node: "n"}).Lay(fleet), heard: timetable.Steady(time.Hour),
 			mirrors: []loopline.Grant{{Name: "build", Version: version, Share: 1}},
 		}
 	}
@@ -59,7 +59,7 @@
 		hand := &timetable.Hand{Now: time.Hour}
 		p := newProxy(&settings.Settings{}, hand, func(string, string, ...any) {})
 		mirror := &config.Mirror{Mirror: loopline.Mirror{Name: "build", Shadow: "next"}, Version: 3}
-		server := &shunt.Siding{Server: feed.Server{ID: "x-1", Service: "next", Address: "a:1", IsReady: true}}
+		server := &balancer.Siding{Server: feed.Server{ID: "x-1", Service: "next", Address: "a:1", IsReady: true}}
 		may := func(s *sight) bool { p.sight.Store(s); return p.mayCopy(mirror, server) }
 		Expect(may(sightOf("a:1", "next", true, 3, "fees"))).To(BeTrue())
 		Expect(may(sightOf("a:9", "next", true, 3, "fees"))).To(BeFalse(), "the address is another's")
--- a/internal/points/moves.go
+++ b/internal/points/moves.go
@@ -6,11 +6,11 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/rpc"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
 )
 
 // placedRun is one placed operation that is running, or whose outcome is still
@@ -40,7 +40,7 @@
 // moves tells where the change would leave the running operations: their home
 // on the live ring, and on the ring after the change. It looks at one immutable
 // sight and shifts nothing.
-func (p *proxy) moves(change shunt.Change) messages.Moves {
+func (p *proxy) moves(change balancer.Change) messages.Moves {
 	yard := p.sight.Load().yard
 	after := yard.Trial(change)
 	out := messages.Moves{Node: p.set.Load().Platform.NodeName}
--- a/internal/points/once_test.go
+++ b/internal/points/once_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/standin"
 )
 
@@ -60,9 +60,9 @@
 			p, one := inquiryOn(config.Unsafe, servers...)
 			before := arrivals()
 			_, err := p.delivering(context.Background(), one)
-			var known *derail.Error
+			var known *apierror.Error
 			Expect(errors.As(err, &known)).To(BeTrue())
-			Expect(known.Kind).To(Equal(derail.NotExecuted))
+			Expect(known.Kind).To(Equal(apierror.NotExecuted))
 			Expect(arrivals() - before).To(Equal(3))
 		}
 	})
--- a/internal/points/points.go
+++ b/internal/points/points.go
@@ -13,18 +13,18 @@
 	"github.com/go-kit/kit/endpoint"
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/agent"
+	"ploverhitch/internal/balancer"
+	"ploverhitch/internal/bandwidth"
 	"ploverhitch/internal/branchline"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/headway"
-	"ploverhitch/internal/hotbox"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/loopline"
 	"ploverhitch/internal/membership"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/rpc"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
-	"ploverhitch/internal/telegraph"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
 )
 
@@ -34,7 +34,7 @@
 // sight is what an inquiry reads: one immutable view of everything.
 type sight struct {
 	sheet *config.Sheet
-	yard  *shunt.Yard
+	yard  *balancer.Yard
 	// tree is the sites, site this node's own.
 	tree    *branchline.Tree
 	site    string
@@ -52,7 +52,7 @@
 	isWhole bool
 	// cutoffs are what is turned away, mirrors what is copied, by the fleet's
 	// grants.
-	cutoffs []loadgauge.Cutoff
+	cutoffs []shedding.Cutoff
 	mirrors []loopline.Grant
 }
 
@@ -72,7 +72,7 @@
 
 	lock    sync.Mutex
 	lines   map[string]*rpc.Line
-	budgets map[string]*shunt.Budget
+	budgets map[string]*balancer.Budget
 	paces   sync.Map
 	// runs are the placed operations at work, by their inquiry.
 	runs   sync.Map
@@ -80,10 +80,10 @@
 	life   string
 	tries  atomic.Uint64
 	// in and out are the two directions of the machine's link.
-	in, out *headway.Track
-	bulk    *headway.Passing
+	in, out *bandwidth.Track
+	bulk    *bandwidth.Passing
 	// box counts outcomes, allowances what versions on trial may have.
-	box        *hotbox.Box
+	box        *outlier.Box
 	allowances sync.Map
 	// purse holds what this node may use of other sites' room.
 	purse *branchline.Purse
@@ -125,7 +125,7 @@
 	defer stop()
 	go settings.Watch(inner, path, func(changed *settings.Settings) { p.set.Store(changed) }, func(err error) { note("warn", "settings", "error", err) })
 	go p.loop.Run(inner, p.learn, 0, nil)
-	near := rpc.NewLine(telegraph.LoopbackAddress(set), coreConnect, coreSilence)
+	near := rpc.NewLine(agent.LoopbackAddress(set), coreConnect, coreSilence)
 	p.follower = feed.NewFollower("points", near, p.loop.Put, 50*time.Millisecond)
 	go p.follower.Run(inner)
 	go p.reportOn(inner)
@@ -150,15 +150,15 @@
 func newProxy(set *settings.Settings, clock timetable.Clock, note Note) *proxy {
 	p := &proxy{
 		clock: clock, note: note, loop: timetable.NewLoop[feed.News](256), board: feed.NewBoard(),
-		lines: map[string]*rpc.Line{}, budgets: map[string]*shunt.Budget{}, life: newLife(), box: hotbox.NewBox(), purse: branchline.NewPurse(clock),
+		lines: map[string]*rpc.Line{}, budgets: map[string]*balancer.Budget{}, life: newLife(), box: outlier.NewBox(), purse: branchline.NewPurse(clock),
 		gate: newGate(clock), copier: newCopier(),
 	}
 	p.set.Store(set)
-	home := shunt.Home{Node: set.Platform.NodeName, Cell: set.Platform.Cell, Set: set.Tuning.WorkingSet}
-	p.in = headway.NewTrack(set.Platform.Limits.LinkMbps, clock)
-	p.out = headway.NewTrack(set.Platform.Limits.LinkMbps, clock)
-	p.bulk = headway.NewPassing(p.out)
-	p.sight.Store(&sight{sheet: config.Book{}.Compile(), yard: shunt.NewYard(home)})
+	home := balancer.Home{Node: set.Platform.NodeName, Cell: set.Platform.Cell, Set: set.Tuning.WorkingSet}
+	p.in = bandwidth.NewTrack(set.Platform.Limits.LinkMbps, clock)
+	p.out = bandwidth.NewTrack(set.Platform.Limits.LinkMbps, clock)
+	p.bulk = bandwidth.NewPassing(p.out)
+	p.sight.Store(&sight{sheet: config.Book{}.Compile(), yard: balancer.NewYard(home)})
 	p.serve = endpoint.Chain(p.admitting, p.passing, p.replaying)(p.delivering)
 	return p
 }
@@ -227,14 +227,14 @@
 	return line
 }
 
-func (p *proxy) budget(service string) *shunt.Budget {
+func (p *proxy) budget(service string) *balancer.Budget {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	budget := p.budgets[service]
 	if budget == nil {
 		bounds := p.set.Load().Platform.Bounds
-		floor := func() float64 { return shunt.Floor(bounds.RetrySlack, p.sight.Load().proxies) }
-		budget = shunt.NewBudget(bounds.RetryBudgetRatio, bounds.RetryWindow.Std(), floor, p.clock)
+		floor := func() float64 { return balancer.Floor(bounds.RetrySlack, p.sight.Load().proxies) }
+		budget = balancer.NewBudget(bounds.RetryBudgetRatio, bounds.RetryWindow.Std(), floor, p.clock)
 		p.budgets[service] = budget
 	}
 	return budget
--- a/internal/points/replay.go
+++ b/internal/points/replay.go
@@ -8,12 +8,12 @@
 
 	"github.com/go-kit/kit/endpoint"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 // attempt is one try of this proxy at one key.
@@ -32,14 +32,14 @@
 	idempotency.Won:         (*attempt).forward,
 	idempotency.Replayable:  (*attempt).replay,
 	idempotency.InWork:      (*attempt).resume,
-	idempotency.Conflicting: rejecting(derail.Conflict),
-	idempotency.Limited:     rejecting(derail.OverLimit),
-	idempotency.NoMajority:  rejecting(derail.NoQuorum),
+	idempotency.Conflicting: rejecting(apierror.Conflict),
+	idempotency.Limited:     rejecting(apierror.OverLimit),
+	idempotency.NoMajority:  rejecting(apierror.NoQuorum),
 	idempotency.TurnedAway:  (*attempt).turnAway,
 }
 
-func rejecting(kind derail.Kind) func(*attempt, context.Context, endpoint.Endpoint) (any, error) {
-	return func(*attempt, context.Context, endpoint.Endpoint) (any, error) { return nil, derail.New(kind, "") }
+func rejecting(kind apierror.Kind) func(*attempt, context.Context, endpoint.Endpoint) (any, error) {
+	return func(*attempt, context.Context, endpoint.Endpoint) (any, error) { return nil, apierror.New(kind, "") }
 }
 
 // replaying secures an intent for every inquiry of an idempotent lane before
@@ -50,9 +50,9 @@
 		if one.lane.RouteType != config.Idempotent {
 			return next(ctx, request)
 		}
-		keys := one.Header.Values(coupling.HeaderKey)
+		keys := one.Header.Values(upstream.HeaderKey)
 		if len(keys) != 1 || keys[0] == "" {
-			return nil, derail.New(derail.BadInquiry, "one operation key is needed")
+			return nil, apierror.New(apierror.BadInquiry, "one operation key is needed")
 		}
 		one.key = idempotency.Key{Tenant: one.lane.Host, Key: keys[0]}
 		a := &attempt{proxy: p, one: one, ungranted: map[string]bool{}}
@@ -85,7 +85,7 @@
 	var open *openEnd
 	switch known := err.(type) {
 	case nil:
-		out := reply.(*coupling.Reply)
+		out := reply.(*upstream.Reply)
 		a.complete(out)
 		return out, nil
 	case *openEnd:
@@ -109,7 +109,7 @@
 			}
 		}()
 	}
-	return nil, derail.New(open.kind, "")
+	return nil, apierror.New(open.kind, "")
 }
 
 func (a *attempt) step(to idempotency.State) {
@@ -122,7 +122,7 @@
 
 // complete records the reply. One that is not at hand whole is not recorded: a part
 // would be replayed as if it were all, so the outcome stays open.
-func (a *attempt) complete(reply *coupling.Reply) {
+func (a *attempt) complete(reply *upstream.Reply) {
 	if reply.Rest != nil {
 		if a.intent.State != idempotency.TimeoutUnresolved {
 			a.step(idempotency.TimeoutUnresolved)
@@ -132,7 +132,7 @@
 	}
 	a.step(idempotency.Completed)
 	a.intent.Reply = &idempotency.Reply{
-		Status: reply.Status, Seal: reply.Header.Get(coupling.HeaderSeal),
+		Status: reply.Status, Seal: reply.Header.Get(upstream.HeaderSeal),
 		ContentType: reply.Header.Get("Content-Type"), Body: reply.Body,
 	}
 	a.tell(a.intent, a.set.Load().Tuning.RecordWait.Std())
@@ -168,13 +168,13 @@
 	return replyOf(a.round.Terminal().Reply, a.one.Attempt), nil
 }
 
-func replyOf(recorded *idempotency.Reply, attempt string) *coupling.Reply {
-	header := http.Header{coupling.HeaderAttempt: {attempt}}
+func replyOf(recorded *idempotency.Reply, attempt string) *upstream.Reply {
+	header := http.Header{upstream.HeaderAttempt: {attempt}}
 	if recorded.Seal != "" {
-		header[coupling.HeaderSeal] = []string{recorded.Seal}
+		header[upstream.HeaderSeal] = []string{recorded.Seal}
 	}
 	if recorded.ContentType != "" {
 		header["Content-Type"] = []string{recorded.ContentType}
 	}
-	return &coupling.Reply{Status: recorded.Status, Header: header, Body: recorded.Body, Length: int64(len(recorded.Body))}
+	return &upstream.Reply{Status: recorded.Status, Header: header, Body: recorded.Body, Length: int64(len(recorded.Body))}
 }
--- a/internal/points/resume.go
+++ b/internal/points/resume.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 
-	"ploverhitch/internal/derail"
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/messages"
 )
@@ -26,13 +26,13 @@
 		a.clock.Sleep(pause)
 		if held := a.lookup(); held != nil && held.Reply != nil {
 			if held.Hash != a.intent.Hash {
-				return nil, derail.New(derail.Conflict, "")
+				return nil, apierror.New(apierror.Conflict, "")
 			}
 			a.one.isReplayed = true
 			return replyOf(held.Reply, a.one.Attempt), nil
 		}
 	}
-	return nil, derail.New(derail.AtWork, "")
+	return nil, apierror.New(apierror.AtWork, "")
 }
 
 // lookup asks every member for the key and returns an ended record, if one has
--- a/internal/points/serving.go
+++ b/internal/points/serving.go
@@ -5,15 +5,15 @@
 
 	"github.com/juju/errors"
 
-	"ploverhitch/internal/coupling"
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/upstream"
 )
 
 // isServing tells, by the newest news, whether the server may still get requests:
 // it is listed under its address, ready, of a version that is open, and not known
 // to leave.
-func (p *proxy) isServing(siding *shunt.Siding) bool {
+func (p *proxy) isServing(siding *balancer.Siding) bool {
 	now, isListed := p.sight.Load().yard.Find(siding.ID)
 	if !isListed || now.Address != siding.Address {
 		return false
@@ -30,19 +30,19 @@
 }
 
 // outcomeOf is what the end of a try shows of its server.
-func (d *delivery) outcomeOf(reply *coupling.Reply, err error) shunt.Outcome {
+func (d *delivery) outcomeOf(reply *upstream.Reply, err error) balancer.Outcome {
 	switch {
-	case d.isBrokenOff(err), errors.Is(err, coupling.ErrServerLeft):
-		return shunt.Unasked
-	case errors.Is(err, coupling.ErrNotSent) && errors.Is(err, errors.Timeout):
-		return shunt.Unasked
+	case d.isBrokenOff(err), errors.Is(err, upstream.ErrServerLeft):
+		return balancer.Unasked
+	case errors.Is(err, upstream.ErrNotSent) && errors.Is(err, errors.Timeout):
+		return balancer.Unasked
 	case err != nil:
-		return shunt.Failed
+		return balancer.Failed
 	case reply.Status == http.StatusMisdirectedRequest:
-		return shunt.Misdirected
+		return balancer.Misdirected
 	case reply.IsNotExecuted():
-		return shunt.Full
+		return balancer.Full
 	default:
-		return shunt.Served
+		return balancer.Served
 	}
 }
--- a/internal/points/shed.go
+++ b/internal/points/shed.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
+	"ploverhitch/internal/apierror"
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
-	"ploverhitch/internal/loadgauge"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 // aloneSpan is after how long without a word from the holder of the duty a node
@@ -21,11 +21,11 @@
 
 // gate decides what is turned away because its service is overloaded.
 type gate struct {
-	counter *loadgauge.Counter
+	counter *shedding.Counter
 	// lock guards the node's own measure, and the loads that wait to be reported.
 	lock    sync.Mutex
-	floor   *loadgauge.Gauge
-	pending []loadgauge.Load
+	floor   *shedding.Gauge
+	pending []shedding.Load
 	// heardAt is when the holder answered a report last.
 	heardAt timetable.Steady
 }
@@ -33,14 +33,14 @@
 func newGate(clock timetable.Clock) *gate {
 	// The floor's seed is the same at all nodes, so that nodes which go by their
 	// own measures differ in how much they turn away, and hardly in whom.
-	return &gate{counter: loadgauge.NewCounter(), floor: loadgauge.NewGauge(clock, func() uint64 { return 0 })}
+	return &gate{counter: shedding.NewCounter(), floor: shedding.NewGauge(clock, func() uint64 { return 0 })}
 }
 
 func (p *proxy) isGauging() bool { return p.set.Load().Tuning.Loadgauge == settings.GaugeOn }
 
 // cutoffs are those in force: the holder's while its grant holds, or else, after
 // a silence of the core, the node's own floor.
-func (p *proxy) cutoffs(s *sight) (out []loadgauge.Cutoff, isFloor bool) {
+func (p *proxy) cutoffs(s *sight) (out []shedding.Cutoff, isFloor bool) {
 	now := p.clock.Steady()
 	if len(s.cutoffs) > 0 && s.holdsGrants(now) {
 		return s.cutoffs, false
@@ -89,10 +89,10 @@
 func (i *inquiry) comeBack() error {
 	aim := i.lane.TargetLatency.Std()
 	if aim == 0 {
-		aim = derail.AnswerOf(derail.Shed).RetryAfter
+		aim = apierror.AnswerOf(apierror.Shed).RetryAfter
 	}
-	after := aim/2 + time.Duration(loadgauge.Draw(1, i.Attempt)*float64(aim))
-	return &derail.Error{Kind: derail.Shed, Detail: i.service, After: after.Round(time.Millisecond)}
+	after := aim/2 + time.Duration(shedding.Draw(1, i.Attempt)*float64(aim))
+	return &apierror.Error{Kind: apierror.Shed, Detail: i.service, After: after.Round(time.Millisecond)}
 }
 
 // clientOf is the address of an inquiry's client, without its port.
@@ -108,21 +108,21 @@
 const lateTimes = 2
 
 // strainOf counts what the end of a try shows of the service's load.
-func (d *delivery) strainOf(siding *shunt.Siding, reply *coupling.Reply, err error, took time.Duration) {
+func (d *delivery) strainOf(siding *balancer.Siding, reply *upstream.Reply, err error, took time.Duration) {
 	if !d.isGauging() || err != nil || reply.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	outcome, lane := loadgauge.InTime, d.one.lane
+	outcome, lane := shedding.InTime, d.one.lane
 	switch {
 	case reply.IsNotExecuted():
-		outcome = loadgauge.Turned
+		outcome = shedding.Turned
 	case lane.RouteType == config.Download:
 		// How long bulk takes says more of this node's link than of the service.
 	case lane.TargetLatency > 0 && took > max(lane.TargetLatency.Std(), lateTimes*d.pace.least()):
-		outcome = loadgauge.Late
+		outcome = shedding.Late
 	}
 	d.gate.counter.Try(d.one.service, lane.Tier, siding.ID, outcome)
-	d.box.NoteStrain(siding.ID, outcome != loadgauge.InTime)
+	d.box.NoteStrain(siding.ID, outcome != shedding.InTime)
 }
 
 // measure takes what was counted into the node's own measure, and tells whether
@@ -134,14 +134,14 @@
 	loads, isStrained := p.gate.counter.Take()
 	p.gate.lock.Lock()
 	defer p.gate.lock.Unlock()
-	p.gate.pending = loadgauge.Sum(p.gate.pending, loads)
+	p.gate.pending = shedding.Sum(p.gate.pending, loads)
 	p.gate.floor.Hear("", loads)
 	p.gate.floor.Decide(p.gate.counter.Strained)
 	return isStrained
 }
 
 // loads are what is reported now.
-func (p *proxy) loads() []loadgauge.Load {
+func (p *proxy) loads() []shedding.Load {
 	p.gate.lock.Lock()
 	defer p.gate.lock.Unlock()
 	out := p.gate.pending
--- a/internal/points/stage.go
+++ b/internal/points/stage.go
@@ -7,12 +7,12 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/coupling"
-	"ploverhitch/internal/derail"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 // stage is a staged change as this node knows it: the manifest with it, and
@@ -43,7 +43,7 @@
 
 // stageMark is a staged change's hold on an inquiry: its outcome counts for it.
 type stageMark struct {
-	mark hotbox.Mark
+	mark outlier.Mark
 	// aim is within what the lane's reply is on time.
 	aim time.Duration
 	// isUnkept: the change would run a keyed operation without its record.
@@ -66,7 +66,7 @@
 		if named == nil {
 			named = next
 		}
-		one.stage = &stageMark{mark: hotbox.Mark{Subject: staged.Subject, Number: staged.Number, Lane: named.Name, IsTrial: staged.isMine}}
+		one.stage = &stageMark{mark: outlier.Mark{Subject: staged.Subject, Number: staged.Number, Lane: named.Name, IsTrial: staged.isMine}}
 		if one.stage.aim = named.TargetLatency.Std(); one.stage.aim == 0 {
 			one.stage.aim = named.Timeout.Std()
 		}
@@ -90,16 +90,16 @@
 
 // settleStage counts how an inquiry ended for the staged change that touched it. What
 // the record answered shows nothing of the change.
-func (p *proxy) settleStage(one *inquiry, reply *coupling.Reply, err error, isBroken bool) {
+func (p *proxy) settleStage(one *inquiry, reply *upstream.Reply, err error, isBroken bool) {
 	if one == nil || one.stage == nil || one.isReplayed {
 		return
 	}
 	outcome, isCounted := stageOutcome(one, reply, err, time.Since(one.arrived))
 	if isBroken {
-		outcome, isCounted = hotbox.Broken, true
+		outcome, isCounted = outlier.Broken, true
 	}
 	if one.stage.isUnkept {
-		outcome, isCounted = hotbox.Doubled, true
+		outcome, isCounted = outlier.Doubled, true
 	}
 	if isCounted {
 		p.box.Note(one.stage.mark, outcome)
@@ -108,30 +108,30 @@
 
 // ends is the table from a kind of derailment to what it shows of a change;
 // other kinds show nothing.
-var ends = map[derail.Kind]hotbox.Outcome{
-	derail.Broken: hotbox.Broken, derail.Late: hotbox.Slow, derail.NoServer: hotbox.Failed, derail.NotExecuted: hotbox.Failed,
-	derail.Busy: hotbox.Failed,
+var ends = map[apierror.Kind]outlier.Outcome{
+	apierror.Broken: outlier.Broken, apierror.Late: outlier.Slow, apierror.NoServer: outlier.Failed, apierror.NotExecuted: outlier.Failed,
+	apierror.Busy: outlier.Failed,
 }
 
-func stageOutcome(one *inquiry, reply *coupling.Reply, err error, took time.Duration) (outcome hotbox.Outcome, isCounted bool) {
+func stageOutcome(one *inquiry, reply *upstream.Reply, err error, took time.Duration) (outcome outlier.Outcome, isCounted bool) {
 	isKeyed := one.lane != nil && one.lane.RouteType == config.Idempotent
-	var known *derail.Error
+	var known *apierror.Error
 	switch {
 	case err != nil && errors.As(err, &known):
 		outcome, isCounted = ends[known.Kind]
-		if isKeyed && (known.Kind == derail.Broken || known.Kind == derail.Late) {
+		if isKeyed && (known.Kind == apierror.Broken || known.Kind == apierror.Late) {
 			// It may have run, and nobody can say: the operation is missing.
-			outcome = hotbox.Missing
+			outcome = outlier.Missing
 		}
 		return outcome, isCounted
 	case errors.Is(err, errLeft):
 		return outcome, false
 	case err != nil:
-		return hotbox.Failed, true
+		return outlier.Failed, true
 	case reply.Status >= http.StatusInternalServerError:
-		return hotbox.Failed, true
+		return outlier.Failed, true
 	case took > one.stage.aim:
-		return hotbox.Slow, true
+		return outlier.Slow, true
 	}
-	return hotbox.Good, true
+	return outlier.Good, true
 }
--- a/internal/points/trial.go
+++ b/internal/points/trial.go
@@ -8,13 +8,13 @@
 
 	"github.com/juju/errors"
 
-	"ploverhitch/internal/coupling"
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/feed"
-	"ploverhitch/internal/hotbox"
 	"ploverhitch/internal/messages"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/settings"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/timetable"
+	"ploverhitch/internal/upstream"
 )
 
 const (
@@ -58,9 +58,9 @@
 	}
 }
 
-func (p *proxy) allowance(service string) *shunt.Allowance {
-	known, _ := p.allowances.LoadOrStore(service, &shunt.Allowance{})
-	return known.(*shunt.Allowance)
+func (p *proxy) allowance(service string) *balancer.Allowance {
+	known, _ := p.allowances.LoadOrStore(service, &balancer.Allowance{})
+	return known.(*balancer.Allowance)
 }
 
 // mayTry tells whether the next try may go to the version on trial: the first
@@ -75,39 +75,39 @@
 }
 
 // testify counts what a try showed of the server and of its version.
-func (d *delivery) testify(siding *shunt.Siding, mark hotbox.Mark, reply *coupling.Reply, err error, took, usual time.Duration) {
-	outcome := hotbox.Good
+func (d *delivery) testify(siding *balancer.Siding, mark outlier.Mark, reply *upstream.Reply, err error, took, usual time.Duration) {
+	outcome := outlier.Good
 	isWarming := siding.WarmLeft(d.clock.Wall()) > 0
 	isSlow := usual > 0 && took > max(slowTimes*usual, slowLeast)
 	var timed net.Error
 	switch {
-	case err != nil && errors.Is(err, coupling.ErrNotSent):
+	case err != nil && errors.Is(err, upstream.ErrNotSent):
 		return
 	case err != nil && errors.As(err, &timed) && timed.Timeout():
-		outcome = hotbox.Slow
+		outcome = outlier.Slow
 	case err != nil:
-		outcome = hotbox.Broken
+		outcome = outlier.Broken
 	case reply.IsNotExecuted():
 		return
 	case reply.Status == http.StatusInternalServerError || reply.Status == http.StatusBadGateway || reply.Status == http.StatusServiceUnavailable:
-		outcome = hotbox.Failed
+		outcome = outlier.Failed
 	case isSlow || reply.Status == http.StatusGatewayTimeout:
-		outcome = hotbox.Slow
+		outcome = outlier.Slow
 	}
 	pace := 0.0
 	if usual > 0 && !isWarming {
 		pace = float64(took) / float64(usual)
 	}
 	d.box.NoteServer(siding.ID, outcome, pace)
-	if mark.Number > 0 && (outcome != hotbox.Slow || !isWarming) {
+	if mark.Number > 0 && (outcome != outlier.Slow || !isWarming) {
 		d.box.Note(mark, outcome)
 	}
 }
 
 // mark is what a try counts for: the trial that was on when it was sent.
-func (d *delivery) mark(siding *shunt.Siding) (mark hotbox.Mark) {
+func (d *delivery) mark(siding *balancer.Siding) (mark outlier.Mark) {
 	if share, isGranted := d.sight.Load().grant(d.one.service, d.clock.Steady()); isGranted {
-		mark = hotbox.Mark{Subject: d.one.service, Number: share.Number, Lane: d.one.lane.Name, IsTrial: siding.Grade == feed.OnTrial}
+		mark = outlier.Mark{Subject: d.one.service, Number: share.Number, Lane: d.one.lane.Name, IsTrial: siding.Grade == feed.OnTrial}
 	}
 	return mark
 }
@@ -127,7 +127,7 @@
 		report := p.box.Report(set.Platform.NodeName, p.life)
 		report.Term, report.Count = s.reading.Term, s.reading.Count
 		for _, share := range s.shares {
-			report.Works = append(report.Works, hotbox.Work{Subject: share.Service, AtWork: s.yard.AtWork(share.Service)})
+			report.Works = append(report.Works, outlier.Work{Subject: share.Service, AtWork: s.yard.AtWork(share.Service)})
 		}
 		out := messages.Report{Evidence: report, Cell: set.Platform.Cell}
 		if set.Tuning.Branchline != settings.BranchOff {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,7 +103,7 @@
 	// Loadgauge says whether nodes turn inquiries away by the cutoff that all agree
 	// on: off or on.
 	Loadgauge string `yaml:"loadgauge"`
-	// Loopback is where a machine's proxy finds its telegraph.
+	// Loopback is where a machine's proxy finds its agent.
 	Loopback string `yaml:"loopback"`
 }
 
--- a/internal/loadgauge/calm_test.go
+++ b/internal/shedding/calm_test.go
@@ -1,4 +1,4 @@
-package loadgauge_test
+package shedding_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
 )
 
@@ -17,15 +17,15 @@
 		w.servers[0].isIll = true
 		w.run(0.7, 10*time.Second)
 		Expect(w.holder.Cutoffs()).To(BeEmpty())
-		gauge := loadgauge.NewGauge(w.hand, w.random.Uint64)
+		gauge := shedding.NewGauge(w.hand, w.random.Uint64)
 		for range 20 {
 			w.hand.Now += 250 * time.Millisecond
 			for number := range 10 {
-				load := loadgauge.Load{Service: "s", Offered: 20, Sent: 20}
+				load := shedding.Load{Service: "s", Offered: 20, Sent: 20}
 				if number == 0 {
 					load.Turned = 20
 				}
-				gauge.Hear(fmt.Sprint(number), []loadgauge.Load{load})
+				gauge.Hear(fmt.Sprint(number), []shedding.Load{load})
 			}
 			Expect(gauge.Decide(func(string) float64 { return 1 })).To(BeFalse())
 		}
@@ -34,11 +34,11 @@
 	It("is keyed operations that are late, or turned away now and then: they are refused only where servers turn most away", func() {
 		for turned, isRefused := range map[uint32]bool{0: false, 20: false, 45: false, 60: true} {
 			hand := &timetable.Hand{Now: time.Hour}
-			gauge := loadgauge.NewGauge(hand, func() uint64 { return 5 })
+			gauge := shedding.NewGauge(hand, func() uint64 { return 5 })
 			for range 40 {
 				hand.Now += 250 * time.Millisecond
-				load := loadgauge.Load{Service: "s", Offered: 100, Sent: 100, Late: 60 - turned, Turned: turned, IsKeyed: true}
-				gauge.Hear("a", []loadgauge.Load{load})
+				load := shedding.Load{Service: "s", Offered: 100, Sent: 100, Late: 60 - turned, Turned: turned, IsKeyed: true}
+				gauge.Hear("a", []shedding.Load{load})
 				gauge.Decide(func(string) float64 { return 1 })
 			}
 			shed := 0
@@ -55,11 +55,11 @@
 
 	It("never goes back to an older number when the holder changes", func() {
 		hand := &timetable.Hand{Now: time.Hour}
-		gauge := loadgauge.NewGauge(hand, func() uint64 { return 5 })
-		gauge.Hold([]loadgauge.Cutoff{{Service: "s", Number: 41, Seed: 9, Tier: 1, Part: 0.5}})
+		gauge := shedding.NewGauge(hand, func() uint64 { return 5 })
+		gauge.Hold([]shedding.Cutoff{{Service: "s", Number: 41, Seed: 9, Tier: 1, Part: 0.5}})
 		for range 40 {
 			hand.Now += 250 * time.Millisecond
-			gauge.Hear("a", []loadgauge.Load{{Service: "s", Tier: 1, Offered: 100, Sent: 60, Turned: 40}})
+			gauge.Hear("a", []shedding.Load{{Service: "s", Tier: 1, Offered: 100, Sent: 60, Turned: 40}})
 			gauge.Decide(func(string) float64 { return 1 })
 		}
 		Expect(gauge.Cutoffs()).To(HaveLen(1))
--- a/internal/loadgauge/clients_test.go
+++ b/internal/shedding/clients_test.go
@@ -1,11 +1,11 @@
-package loadgauge_test
+package shedding_test
 
 import (
 	"fmt"
 	"time"
 
 	"ploverhitch/internal/idempotency"
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
 )
 
@@ -60,7 +60,7 @@
 		a = z
 	}
 	if a.isIll || len(a.work) >= slots+queue {
-		n.counter.Try("s", tier, a.id, loadgauge.Turned)
+		n.counter.Try("s", tier, a.id, shedding.Turned)
 		w.giveBack(c)
 		w.refuse(c)
 		return
@@ -119,13 +119,13 @@
 			left = append(left, j)
 			continue
 		}
-		outcome := loadgauge.InTime
+		outcome := shedding.InTime
 		w.counts[j.c.lane].served++
 		if w.hand.Now-j.c.born > aim {
 			w.counts[j.c.lane].late++
 		}
 		if w.hand.Now-j.c.at > aim {
-			outcome = loadgauge.Late
+			outcome = shedding.Late
 		}
 		j.node.counter.Try("s", w.order.TierOf(j.c.lane), s.id, outcome)
 		if j.c.lane == "release" {
--- a/internal/loadgauge/counter.go
+++ b/internal/shedding/counter.go
@@ -1,4 +1,4 @@
-package loadgauge
+package shedding
 
 import (
 	"sync"
@@ -44,7 +44,7 @@
 //
 // Example:
 //
-//	counter := loadgauge.NewCounter()
+//	counter := shedding.NewCounter()
 func NewCounter() *Counter {
 	return &Counter{rows: map[cell]*Load{}, servers: map[string]map[string]*strain{}}
 }
@@ -88,7 +88,7 @@
 //
 // Example:
 //
-//	counter.Try("fees", tier, "i-7f3a91c2", loadgauge.Turned)
+//	counter.Try("fees", tier, "i-7f3a91c2", shedding.Turned)
 func (c *Counter) Try(service string, tier Tier, server string, outcome Outcome) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -160,7 +160,7 @@
 //
 // Example:
 //
-//	pending = loadgauge.Sum(pending, loads)
+//	pending = shedding.Sum(pending, loads)
 func Sum(a, z []Load) []Load {
 	for _, more := range z {
 		isThere := false
--- a/internal/loadgauge/cutoff.go
+++ b/internal/shedding/cutoff.go
@@ -1,4 +1,4 @@
-package loadgauge
+package shedding
 
 import (
 	"encoding/binary"
@@ -41,7 +41,7 @@
 //
 // Example:
 //
-//	isIn := loadgauge.Draw(seed, tenant, key) < share
+//	isIn := shedding.Draw(seed, tenant, key) < share
 func Draw(seed uint64, names ...string) float64 {
 	sum := fnv.New64a()
 	var head [8]byte
--- a/internal/loadgauge/gauge.go
+++ b/internal/shedding/gauge.go
@@ -1,4 +1,4 @@
-package loadgauge
+package shedding
 
 import (
 	"maps"
@@ -87,7 +87,7 @@
 //
 // Example:
 //
-//	gauge := loadgauge.NewGauge(clock, rand.Uint64)
+//	gauge := shedding.NewGauge(clock, rand.Uint64)
 func NewGauge(clock timetable.Clock, seed func() uint64) *Gauge {
 	return &Gauge{clock: clock, columns: map[string]*column{}, seed: seed}
 }
--- a/internal/loadgauge/order.go
+++ b/internal/shedding/order.go
@@ -1,8 +1,8 @@
-// Package loadgauge decides which inquiries are turned away first when a whole
+// Package shedding decides which inquiries are turned away first when a whole
 // service is overloaded, so that every node says the same of each: an order of
 // tiers that follows from the manifest alone, a cutoff in that order which the
 // holder of the duty publishes, and a verdict by hash.
-package loadgauge
+package shedding
 
 import (
 	"cmp"
@@ -31,7 +31,7 @@
 //
 // Example:
 //
-//	loadgauge.Bulk.String() // "bulk"
+//	shedding.Bulk.String() // "bulk"
 func (k Kind) String() string { return kindNames[k] }
 
 // Lane is what the order has to know of a lane.
@@ -73,7 +73,7 @@
 //
 // Example:
 //
-//	order := loadgauge.Arrange(loadgauge.Plan{}, lanes)
+//	order := shedding.Arrange(shedding.Plan{}, lanes)
 func Arrange(plan Plan, lanes []Lane) *Order {
 	ranks := make(map[string]rank, len(lanes))
 	firstBulk := rank{plan: len(plan.Tiers) + 1}
--- a/internal/loadgauge/plan.go
+++ b/internal/shedding/plan.go
@@ -1,4 +1,4 @@
-package loadgauge
+package shedding
 
 import (
 	"slices"
--- a/internal/loadgauge/loadgauge_test.go
+++ b/internal/shedding/shedding_test.go
@@ -1,4 +1,4 @@
-package loadgauge_test
+package shedding_test
 
 import (
 	"fmt"
@@ -9,17 +9,17 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/shedding"
 )
 
-func TestLoadgauge(t *testing.T) {
+func TestShedding(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "loadgauge")
+	RunSpecs(t, "shedding")
 }
 
 var _ = Describe("the order of tiers", func() {
 	It("goes by priority, and among equals keeps keyed lanes, then reads, then bulk", func() {
-		order := loadgauge.Arrange(loadgauge.Plan{}, lanes)
+		order := shedding.Arrange(shedding.Plan{}, lanes)
 		var names []string
 		for _, rung := range order.Rungs() {
 			names = append(names, rung.Lanes...)
@@ -29,49 +29,49 @@
 
 	It("is the same however the lanes are listed", func() {
 		random := rand.New(rand.NewPCG(1, 2))
-		plan := loadgauge.Plan{Name: "p", Tiers: []loadgauge.PlanTier{{Name: "gold", Order: 1, Hosts: []string{"B"}}, {Name: "rest", Order: 2, Hosts: []string{"a"}}}}
-		var all []loadgauge.Lane
+		plan := shedding.Plan{Name: "p", Tiers: []shedding.PlanTier{{Name: "gold", Order: 1, Hosts: []string{"B"}}, {Name: "rest", Order: 2, Hosts: []string{"a"}}}}
+		var all []shedding.Lane
 		for number := range 30 {
-			all = append(all, loadgauge.Lane{Name: fmt.Sprint("l", number), Host: []string{"a", "b", "c"}[number%3], Priority: number % 4, Kind: loadgauge.Kind(number % 4)})
+			all = append(all, shedding.Lane{Name: fmt.Sprint("l", number), Host: []string{"a", "b", "c"}[number%3], Priority: number % 4, Kind: shedding.Kind(number % 4)})
 		}
-		want := loadgauge.Arrange(plan, all).Rungs()
+		want := shedding.Arrange(plan, all).Rungs()
 		for range 20 {
 			random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-			Expect(loadgauge.Arrange(plan, all).Rungs()).To(Equal(want))
+			Expect(shedding.Arrange(plan, all).Rungs()).To(Equal(want))
 		}
 		Expect(want[0].Plan).To(Equal("gold"))
 	})
 
 	It("puts no keyed lane after a bulk one, whatever has become of the lanes", func() {
-		plan := loadgauge.Plan{Name: "p", Tiers: []loadgauge.PlanTier{{Name: "gold", Order: 1, Hosts: []string{"a"}}}}
-		order := loadgauge.Arrange(plan, []loadgauge.Lane{{Name: "pack", Host: "a", Kind: loadgauge.Bulk}, {Name: "fee", Host: "z", Kind: loadgauge.Keyed}})
+		plan := shedding.Plan{Name: "p", Tiers: []shedding.PlanTier{{Name: "gold", Order: 1, Hosts: []string{"a"}}}}
+		order := shedding.Arrange(plan, []shedding.Lane{{Name: "pack", Host: "a", Kind: shedding.Bulk}, {Name: "fee", Host: "z", Kind: shedding.Keyed}})
 		Expect(order.TierOf("fee")).To(BeNumerically("<", order.TierOf("pack")))
 	})
 
 	DescribeTable("a plan that is wrong is refused by name",
-		func(plan loadgauge.Plan, reason string) {
+		func(plan shedding.Plan, reason string) {
 			plan.Name = "p"
-			Expect(plan.Check(append(lanes, loadgauge.Lane{Name: "far", Host: "z", Kind: loadgauge.Bulk}))).To(MatchError(ContainSubstring(reason)))
+			Expect(plan.Check(append(lanes, shedding.Lane{Name: "far", Host: "z", Kind: shedding.Bulk}))).To(MatchError(ContainSubstring(reason)))
 		},
-		Entry("no tiers", loadgauge.Plan{}, "Tiers"),
-		Entry("an unknown host", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Hosts: []string{"q"}}}}, "host q"),
-		Entry("an unknown lane", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Lanes: []string{"q"}}}}, "lane q"),
-		Entry("a lane in two tiers", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Lanes: []string{"page"}}, {Name: "b", Order: 2, Lanes: []string{"page"}}}}, "lane page"),
-		Entry("one order twice", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1}, {Name: "b", Order: 1}}}, "tiers a and b"),
-		Entry("a gap", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1}, {Name: "b", Order: 3}}}, "tier of order 2"),
-		Entry("a keyed lane after a bulk one", loadgauge.Plan{Tiers: []loadgauge.PlanTier{{Name: "a", Order: 1, Hosts: []string{"z"}}}}, "keyed lane release"),
+		Entry("no tiers", shedding.Plan{}, "Tiers"),
+		Entry("an unknown host", shedding.Plan{Tiers: []shedding.PlanTier{{Name: "a", Order: 1, Hosts: []string{"q"}}}}, "host q"),
+		Entry("an unknown lane", shedding.Plan{Tiers: []shedding.PlanTier{{Name: "a", Order: 1, Lanes: []string{"q"}}}}, "lane q"),
+		Entry("a lane in two tiers", shedding.Plan{Tiers: []shedding.PlanTier{{Name: "a", Order: 1, Lanes: []string{"page"}}, {Name: "b", Order: 2, Lanes: []string{"page"}}}}, "lane page"),
+		Entry("one order twice", shedding.Plan{Tiers: []shedding.PlanTier{{Name: "a", Order: 1}, {Name: "b", Order: 1}}}, "tiers a and b"),
+		Entry("a gap", shedding.Plan{Tiers: []shedding.PlanTier{{Name: "a", Order: 1}, {Name: "b", Order: 3}}}, "tier of order 2"),
+		Entry("a keyed lane after a bulk one", shedding.Plan{Tiers: []shedding.PlanTier{{Name: "a", Order: 1, Hosts: []string{"z"}}}}, "keyed lane release"),
 	)
 })
 
 var _ = Describe("a cutoff", func() {
 	It("only adds when it is raised and only lets in when it is lowered", func() {
 		const tiers = 4
-		low := loadgauge.Cutoff{Seed: 7, Tier: 3, Part: 0.4}
-		for _, high := range []loadgauge.Cutoff{{Seed: 7, Tier: 3, Part: 0.9}, {Seed: 7, Tier: 2, Part: 0.1}} {
+		low := shedding.Cutoff{Seed: 7, Tier: 3, Part: 0.4}
+		for _, high := range []shedding.Cutoff{{Seed: 7, Tier: 3, Part: 0.9}, {Seed: 7, Tier: 2, Part: 0.1}} {
 			Expect(high.Height(tiers)).To(BeNumerically(">", low.Height(tiers)))
 			shed := 0
 			for number := range 4000 {
-				tier, name := loadgauge.Tier(number%tiers), fmt.Sprint("k", number)
+				tier, name := shedding.Tier(number%tiers), fmt.Sprint("k", number)
 				if low.Sheds(tier, "h", name) {
 					shed++
 					Expect(high.Sheds(tier, "h", name)).To(BeTrue())
@@ -131,10 +131,10 @@
 	middles := map[string]func(*world){
 		"nothing more": func(*world) {},
 		"the holder is lost": func(w *world) {
-			w.holder = loadgauge.NewGauge(w.hand, w.random.Uint64)
+			w.holder = shedding.NewGauge(w.hand, w.random.Uint64)
 			w.holder.Hold(w.heard(0))
 		},
-		"the holder is lost with all that it told": func(w *world) { w.holder = loadgauge.NewGauge(w.hand, w.random.Uint64) },
+		"the holder is lost with all that it told": func(w *world) { w.holder = shedding.NewGauge(w.hand, w.random.Uint64) },
 		"the core is cut off for a while": func(w *world) {
 			w.isCut = true
 			w.run(2.5, 5*time.Second)
--- a/internal/loadgauge/world_test.go
+++ b/internal/shedding/world_test.go
@@ -1,4 +1,4 @@
-package loadgauge_test
+package shedding_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"time"
 
 	"ploverhitch/internal/idempotency"
-	"ploverhitch/internal/loadgauge"
+	"ploverhitch/internal/shedding"
 	"ploverhitch/internal/timetable"
 )
 
@@ -23,11 +23,11 @@
 type world struct {
 	hand    *timetable.Hand
 	random  *rand.Rand
-	order   *loadgauge.Order
+	order   *shedding.Order
 	nodes   []*node
 	members []*member
 	servers []*server
-	holder  *loadgauge.Gauge
+	holder  *shedding.Gauge
 	// news is what the holder told, and when.
 	news []news
 	// isCut: the core tells nothing and hears nothing. isAlone: every node goes by
@@ -43,22 +43,22 @@
 
 type news struct {
 	at      time.Duration
-	cutoffs []loadgauge.Cutoff
+	cutoffs []shedding.Cutoff
 }
 
 type count struct{ asked, served, late, refused int }
 
 type node struct {
-	counter *loadgauge.Counter
-	floor   *loadgauge.Gauge
-	cutoffs []loadgauge.Cutoff
+	counter *shedding.Counter
+	floor   *shedding.Gauge
+	cutoffs []shedding.Cutoff
 	heardAt time.Duration
 	delay   time.Duration
 }
 
 type member struct {
 	voter   *idempotency.Voter
-	cutoffs []loadgauge.Cutoff
+	cutoffs []shedding.Cutoff
 	heardAt time.Duration
 	delay   time.Duration
 }
@@ -83,16 +83,16 @@
 	winners   []*member
 }
 
-var lanes = []loadgauge.Lane{
-	{Name: "release", Host: "h", Priority: 1, Kind: loadgauge.Keyed},
-	{Name: "urgent", Host: "h", Priority: 1, Kind: loadgauge.Read},
-	{Name: "page", Host: "h", Priority: 2, Kind: loadgauge.Read},
-	{Name: "pack", Host: "h", Priority: 2, Kind: loadgauge.Bulk},
+var lanes = []shedding.Lane{
+	{Name: "release", Host: "h", Priority: 1, Kind: shedding.Keyed},
+	{Name: "urgent", Host: "h", Priority: 1, Kind: shedding.Read},
+	{Name: "page", Host: "h", Priority: 2, Kind: shedding.Read},
+	{Name: "pack", Host: "h", Priority: 2, Kind: shedding.Bulk},
 }
 
 func newWorld(seed uint64, nodes int) *world {
 	w := &world{
-		hand: &timetable.Hand{Now: time.Hour}, random: rand.New(rand.NewPCG(seed, 9)), order: loadgauge.Arrange(loadgauge.Plan{}, lanes),
+		hand: &timetable.Hand{Now: time.Hour}, random: rand.New(rand.NewPCG(seed, 9)), order: shedding.Arrange(shedding.Plan{}, lanes),
 		ran: map[string]int{}, kept: map[string]bool{}, counts: map[string]*count{},
 	}
 	for range nodes {
@@ -107,13 +107,13 @@
 	for _, lane := range lanes {
 		w.counts[lane.Name] = &count{}
 	}
-	w.holder = loadgauge.NewGauge(w.hand, w.random.Uint64)
+	w.holder = shedding.NewGauge(w.hand, w.random.Uint64)
 	return w
 }
 
 func (w *world) newNode() *node {
 	return &node{
-		counter: loadgauge.NewCounter(), floor: loadgauge.NewGauge(w.hand, w.random.Uint64), delay: w.lateness(), heardAt: w.hand.Now,
+		counter: shedding.NewCounter(), floor: shedding.NewGauge(w.hand, w.random.Uint64), delay: w.lateness(), heardAt: w.hand.Now,
 	}
 }
 
@@ -183,7 +183,7 @@
 }
 
 // heard is the newest news for somebody who hears so late.
-func (w *world) heard(delay time.Duration) []loadgauge.Cutoff {
+func (w *world) heard(delay time.Duration) []shedding.Cutoff {
 	for i := len(w.news) - 1; i >= 0; i-- {
 		if w.hand.Now-w.news[i].at >= delay {
 			return w.news[i].cutoffs
--- a/internal/standin/moves_test.go
+++ b/internal/standin/moves_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/inspector"
-	"ploverhitch/internal/shunt"
 	"ploverhitch/internal/standin"
 	"ploverhitch/internal/timetable"
 )
@@ -43,7 +43,7 @@
 			})
 		}
 		control := inspector.NewControl(s.town.Control(1))
-		change := shunt.Change{Service: "fees", Retire: []string{"f-1"}}
+		change := balancer.Change{Service: "fees", Retire: []string{"f-1"}}
 		var forecast *inspector.Forecast
 		Eventually(func(g Gomega) (count int) {
 			var err error
--- a/internal/standin/process_test.go
+++ b/internal/standin/process_test.go
@@ -12,11 +12,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/agent"
 	"ploverhitch/internal/control"
 	"ploverhitch/internal/points"
 	"ploverhitch/internal/settings"
 	"ploverhitch/internal/standin"
-	"ploverhitch/internal/telegraph"
 )
 
 type run func(context.Context, *settings.Settings, string, func(string, string, ...any)) error
@@ -100,10 +100,10 @@
 		edge, err := s.town.Edge(number)
 		Expect(err).NotTo(HaveOccurred())
 		s.edges = append(s.edges, edge)
-		agent, proxy := start(telegraph.Run, edge), start(points.Run, edge)
+		agentProcess, proxyProcess := start(agent.Run, edge), start(points.Run, edge)
 		DeferCleanup(func() {
-			proxy.end()
-			agent.end()
+			proxyProcess.end()
+			agentProcess.end()
 		})
 	}
 	Eventually(func() (int, error) { return s.town.Modify(1, manifestText) }).Should(Equal(200))
--- a/internal/trial/plan.go
+++ b/internal/trial/plan.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/timetable"
 )
 
@@ -22,11 +22,11 @@
 	Elapsed time.Duration
 	// InPhase is how long the trial has been in its phase.
 	InPhase time.Duration
-	Finding hotbox.Finding
+	Finding outlier.Finding
 	// Ready and Old are what the servers of the new and of the old version can
 	// take at once.
 	Ready, Old int
-	Touch      hotbox.Touch
+	Touch      outlier.Touch
 }
 
 const (
@@ -91,11 +91,11 @@
 //	event, reason := state.Next(facts)
 func (s State) Next(facts Facts) (event Event, reason string) {
 	left := s.term() - facts.Elapsed
-	isFit := facts.Finding.Verdict == hotbox.Fit
+	isFit := facts.Finding.Verdict == outlier.Fit
 	switch {
 	case !s.Phase.IsActive():
 		return None, ""
-	case facts.Finding.Verdict == hotbox.Unfit:
+	case facts.Finding.Verdict == outlier.Unfit:
 		return Harmed, facts.Finding.Reason
 	case s.Phase == Emptying && (facts.Touch.IsLeft() || left <= s.end()):
 		return Emptied, ""
--- a/internal/trial/stage_test.go
+++ b/internal/trial/stage_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"ploverhitch/internal/config"
-	"ploverhitch/internal/hotbox"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
 )
@@ -18,12 +18,12 @@
 type line struct {
 	hand   *timetable.Hand
 	random *rand.Rand
-	court  *hotbox.Court
+	court  *outlier.Court
 	state  trial.State
 	// ill is the chance that an inquiry under the change ends in this way, and
 	// wide one that everybody has.
 	ill     float64
-	illness hotbox.Outcome
+	illness outlier.Outcome
 	wide    float64
 	// isBlind goes on whatever the evidence says.
 	isBlind bool
@@ -33,8 +33,8 @@
 }
 
 func newLine(seed uint64) *line {
-	l := &line{hand: &timetable.Hand{}, random: rand.New(rand.NewPCG(seed, 9)), illness: hotbox.Failed}
-	l.court = hotbox.NewCourt(l.hand)
+	l := &line{hand: &timetable.Hand{}, random: rand.New(rand.NewPCG(seed, 9)), illness: outlier.Failed}
+	l.court = outlier.NewCourt(l.hand)
 	var nodes []string
 	for i := range 12 {
 		nodes = append(nodes, fmt.Sprintf("%c%02d", 'a'+i/4, i))
@@ -47,7 +47,7 @@
 
 // run plays until the change has ended or everybody has it.
 func (l *line) run() {
-	boxes, number := map[string]*hotbox.Box{}, map[string]int{}
+	boxes, number := map[string]*outlier.Box{}, map[string]int{}
 	for l.state.Phase == trial.Trying && l.hand.Now < 2*time.Minute {
 		reached := map[string]bool{}
 		for _, node := range l.state.Reached() {
@@ -56,11 +56,11 @@
 		for _, wave := range l.state.Waves {
 			for _, node := range wave {
 				if boxes[node] == nil {
-					boxes[node] = hotbox.NewBox()
+					boxes[node] = outlier.NewBox()
 				}
 				for range 3 {
-					outcome := hotbox.Good
-					mark := hotbox.Mark{Subject: l.state.Subject, Number: l.state.Number, Lane: "l", IsTrial: reached[node]}
+					outcome := outlier.Good
+					mark := outlier.Mark{Subject: l.state.Subject, Number: l.state.Number, Lane: "l", IsTrial: reached[node]}
 					if reached[node] {
 						mark.Wave = l.state.Wave
 					}
@@ -69,7 +69,7 @@
 						outcome = l.illness
 						l.harmed++
 					case l.random.Float64() < l.wide:
-						outcome = hotbox.Failed
+						outcome = outlier.Failed
 					}
 					boxes[node].Note(mark, outcome)
 				}
@@ -83,7 +83,7 @@
 		finding := l.court.Hearing(l.state.Subject, l.state.Number, l.state.Wave)
 		facts := trial.StageFacts{Elapsed: l.hand.Now, InWave: l.hand.Now - l.waveAt, Finding: finding}
 		if l.isBlind {
-			facts.Finding.Verdict, facts.Finding.IsSuspect = hotbox.Fit, false
+			facts.Finding.Verdict, facts.Finding.IsSuspect = outlier.Fit, false
 		}
 		for node := range reached {
 			facts.IsUnheard = facts.IsUnheard || !l.court.IsFresh(node, time.Second)
@@ -108,7 +108,7 @@
 		Expect(l.state.Reached()).To(HaveLen(12))
 	})
 
-	DescribeTable("stops at the first node that it harms", func(illness hotbox.Outcome, ill float64) {
+	DescribeTable("stops at the first node that it harms", func(illness outlier.Outcome, ill float64) {
 		for seed := range uint64(20) {
 			l := newLine(seed)
 			l.ill, l.illness, l.wide = ill, illness, 0.01
@@ -124,11 +124,11 @@
 			Expect(blind.harmed).To(BeNumerically(">", 8*l.harmed))
 		}
 	},
-		Entry("failures", hotbox.Failed, 0.4),
-		Entry("late reads", hotbox.Slow, 0.5),
-		Entry("downloads broken off", hotbox.Broken, 0.8),
-		Entry("keyed operations missing", hotbox.Missing, 0.2),
-		Entry("keyed operations doubled", hotbox.Doubled, 0.5),
+		Entry("failures", outlier.Failed, 0.4),
+		Entry("late reads", outlier.Slow, 0.5),
+		Entry("downloads broken off", outlier.Broken, 0.8),
+		Entry("keyed operations missing", outlier.Missing, 0.2),
+		Entry("keyed operations doubled", outlier.Doubled, 0.5),
 	)
 
 	It("is not condemned for a trouble that everybody has, nor excused by it", func() {
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/hotbox"
-	"ploverhitch/internal/shunt"
+	"ploverhitch/internal/balancer"
+	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/timetable"
 	"ploverhitch/internal/trial"
 )
@@ -27,7 +27,7 @@
 type world struct {
 	hand   *timetable.Hand
 	random *rand.Rand
-	court  *hotbox.Court
+	court  *outlier.Court
 	state  trial.State
 	phase  time.Duration
 	// bad tells the chance of a bad reply on trial, by elapsed time and lane.
@@ -35,9 +35,9 @@
 	// deaf is the part of the proxies that hear nothing after a while.
 	deaf float64
 
-	boxes      []*hotbox.Box
+	boxes      []*outlier.Box
 	lives      []int
-	allowances []*shunt.Allowance
+	allowances []*balancer.Allowance
 	heardPart  []float64
 	heardAt    []time.Duration
 	part       float64
@@ -57,10 +57,10 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{hand: &timetable.Hand{}, random: rand.New(rand.NewPCG(seed, 3))}
-	w.court = hotbox.NewCourt(w.hand)
+	w.court = outlier.NewCourt(w.hand)
 	w.state, _ = trial.State{Subject: "s", InForce: "v1"}.Order("v2", timetable.Span(duration))
 	for range proxies {
-		w.boxes, w.allowances = append(w.boxes, hotbox.NewBox()), append(w.allowances, &shunt.Allowance{})
+		w.boxes, w.allowances = append(w.boxes, outlier.NewBox()), append(w.allowances, &balancer.Allowance{})
 		w.lives, w.heardPart, w.heardAt = append(w.lives, 0), append(w.heardPart, 0), append(w.heardAt, -time.Hour)
 	}
 	w.bad = func(time.Duration, string, float64) float64 { return 0.004 }
@@ -73,7 +73,7 @@
 	now := w.hand.Now
 	isTrial := now-w.heardAt[proxy] < granted && w.heardPart[proxy] > 0 &&
 		w.allowances[proxy].Take(w.state.Number, w.heardPart[proxy], lane)
-	outcome := hotbox.Good
+	outcome := outlier.Good
 	chance := 0.004
 	if isTrial {
 		w.onTrial++
@@ -81,18 +81,18 @@
 		chance = w.bad(now, lane, w.heardPart[proxy])
 	}
 	if w.random.Float64() < chance {
-		outcome = hotbox.Failed
+		outcome = outlier.Failed
 		if isTrial {
 			if w.badReplies++; w.badReplies == 50 {
 				w.fiftieth = now
 			}
 		}
 	}
-	w.boxes[proxy].Note(hotbox.Mark{Subject: "s", Number: w.state.Number, Lane: lane, IsTrial: isTrial}, outcome)
+	w.boxes[proxy].Note(outlier.Mark{Subject: "s", Number: w.state.Number, Lane: lane, IsTrial: isTrial}, outcome)
 }
 
 func (w *world) facts(behind int) trial.Facts {
-	touch := hotbox.Touch{Proxies: proxies, Behind: behind}
+	touch := outlier.Touch{Proxies: proxies, Behind: behind}
 	return trial.Facts{Elapsed: w.hand.Now, InPhase: w.hand.Now - w.phase, Finding: w.court.Hearing("s", w.state.Number, 0), Ready: 100, Old: 100, Touch: touch}
 }
 
@@ -112,7 +112,7 @@
 				w.heardPart[i], w.heardAt[i] = w.part, w.hand.Now
 			}
 			if w.random.IntN(400) == 0 { // a restart forgets its counts
-				w.boxes[i], w.allowances[i] = hotbox.NewBox(), &shunt.Allowance{}
+				w.boxes[i], w.allowances[i] = outlier.NewBox(), &balancer.Allowance{}
 				w.lives[i]++
 			}
 			if w.random.IntN(2) == 0 {
@@ -178,7 +178,7 @@
 
 	It("does not complete on no evidence, and says why", func() {
 		state, _ := trial.State{Subject: "s", InForce: "v1"}.Order("v2", timetable.Span(duration))
-		court := hotbox.NewCourt(&timetable.Hand{})
+		court := outlier.NewCourt(&timetable.Hand{})
 		facts := trial.Facts{Elapsed: duration - 500*time.Millisecond, Finding: court.Hearing("s", 1, 0), Ready: 100, Old: 100}
 		event, reason := state.Next(facts)
 		Expect(event).To(Equal(trial.Lapsed))
--- a/internal/coupling/rack.go
+++ b/internal/upstream/rack.go
@@ -1,4 +1,4 @@
-package coupling
+package upstream
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"ploverhitch/internal/headway"
+	"ploverhitch/internal/bandwidth"
 )
 
 // Rack holds the connections to one server and delivers over them. Unlike
@@ -37,7 +37,7 @@
 	// PassOn, if set, is from which length on a success is handed on as it comes.
 	PassOn int64
 	// In and Out are the directions of the machine's link.
-	In, Out *headway.Track
+	In, Out *bandwidth.Track
 	// Left, if set, ends when nobody waits for the reply any more: then the
 	// connection is broken, so that the server may stop.
 	Left context.Context
--- a/internal/coupling/receive_fuzz_test.go
+++ b/internal/upstream/receive_fuzz_test.go
@@ -1,4 +1,4 @@
-package coupling
+package upstream
 
 import (
 	"bufio"
--- a/internal/coupling/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -1,4 +1,4 @@
-package coupling_test
+package upstream_test
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"ploverhitch/internal/coupling"
+	"ploverhitch/internal/upstream"
 )
 
 func TestRepliesToHeadLeaveNoBytesToTheNextInquiry(t *testing.T) {
@@ -74,7 +74,7 @@
 		e.answer("200 OK", e.id, "hidden")
 		return true
 	})
-	reply, err := s.send("one", "GET", func(order *coupling.Order) { order.Buffer = 4 })
+	reply, err := s.send("one", "GET", func(order *upstream.Order) { order.Buffer = 4 })
 	if err != nil || reply.Rest == nil {
 		t.Fatalf("got %+v, %v", reply, err)
 	}
@@ -103,8 +103,8 @@
 		time.Sleep(50 * time.Millisecond)
 		_ = conn.Close()
 	}()
-	s := &scripted{Rack: &coupling.Rack{Address: listener.Addr().String(), Instance: "i-1"}}
-	reply, err := s.send("one", "POST", func(order *coupling.Order) {
+	s := &scripted{Rack: &upstream.Rack{Address: listener.Addr().String(), Instance: "i-1"}}
+	reply, err := s.send("one", "POST", func(order *upstream.Order) {
 		order.Inquiry.Body, order.Inquiry.HasBody = make([]byte, 16<<20), true
 	})
 	if err != nil || !reply.IsNotExecuted() {
@@ -138,11 +138,11 @@
 			second <- err.Error()
 			return
 		}
-		second <- fmt.Sprint(count, " ", next.Header.Get(coupling.HeaderAttempt))
+		second <- fmt.Sprint(count, " ", next.Header.Get(upstream.HeaderAttempt))
 		exchange{Conn: conn, id: "two"}.answer("200 OK", "two", "body of two")
 	}()
-	s := &scripted{Rack: &coupling.Rack{Address: listener.Addr().String(), Instance: "i-1"}}
-	reply, err := s.send("one", "POST", func(order *coupling.Order) {
+	s := &scripted{Rack: &upstream.Rack{Address: listener.Addr().String(), Instance: "i-1"}}
+	reply, err := s.send("one", "POST", func(order *upstream.Order) {
 		order.Inquiry.Body, order.Inquiry.HasBody = make([]byte, size), true
 	})
 	if err != nil || string(reply.Body) != "early" {
--- a/internal/coupling/rules.go
+++ b/internal/upstream/rules.go
@@ -1,7 +1,7 @@
-// Package coupling joins the two sides of an inquiry: what net/http reads from
+// Package upstream joins the two sides of an inquiry: what net/http reads from
 // clients, and the connections over which it is delivered to servers. A list
 // of rules says what happens to each header.
-package coupling
+package upstream
 
 import (
 	"net/http"
@@ -29,7 +29,7 @@
 	Pass Rule = iota
 	// Drop is for headers that concern one connection only.
 	Drop
-	// Rewrite is for headers that the coupling writes itself.
+	// Rewrite is for headers that this package writes itself.
 	Rewrite
 )
 
@@ -107,7 +107,7 @@
 //
 // Example:
 //
-//	coupling.CopyBack(w.Header(), reply.Header)
+//	upstream.CopyBack(w.Header(), reply.Header)
 func CopyBack(to, from http.Header) {
 	local := named(from)
 	for name, values := range from {
--- a/internal/coupling/script_test.go
+++ b/internal/upstream/script_test.go
@@ -1,4 +1,4 @@
-package coupling_test
+package upstream_test
 
 import (
 	"bufio"
@@ -14,12 +14,12 @@
 
 	"github.com/juju/errors"
 
-	"ploverhitch/internal/coupling"
+	"ploverhitch/internal/upstream"
 )
 
 // scripted is a server that does on each of its connections what the test says.
 type scripted struct {
-	*coupling.Rack
+	*upstream.Rack
 	arrivals atomic.Int32
 	conns    atomic.Int32
 }
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scripted{Rack: &coupling.Rack{Address: listener.Addr().String(), Instance: "i-1"}}
+	s := &scripted{Rack: &upstream.Rack{Address: listener.Addr().String(), Instance: "i-1"}}
 	t.Cleanup(func() { _ = listener.Close(); s.Rack.Close() })
 	go func() {
 		for {
@@ -68,17 +68,17 @@
 		if _, err = io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		if !do(exchange{conn, request.Header.Get(coupling.HeaderAttempt), int(s.arrivals.Add(1))}) {
+		if !do(exchange{conn, request.Header.Get(upstream.HeaderAttempt), int(s.arrivals.Add(1))}) {
 			return
 		}
 	}
 }
 
 // send makes one delivery with the id, by the method, within a second.
-func (s *scripted) send(id, method string, change func(*coupling.Order)) (*coupling.Reply, error) {
+func (s *scripted) send(id, method string, change func(*upstream.Order)) (*upstream.Reply, error) {
 	due := time.Now().Add(time.Second)
-	order := coupling.Order{
-		Inquiry: &coupling.Inquiry{Method: method, Target: "/a", Host: "h", Header: http.Header{coupling.HeaderAttempt: {id}}, Attempt: id},
+	order := upstream.Order{
+		Inquiry: &upstream.Inquiry{Method: method, Target: "/a", Host: "h", Header: http.Header{upstream.HeaderAttempt: {id}}, Attempt: id},
 		Due:     due, Last: due, Connect: time.Second, Buffer: 1 << 20,
 	}
 	if change != nil {
@@ -97,7 +97,7 @@
 
 func (s *scripted) wantUnknown(t *testing.T, id, method string) {
 	t.Helper()
-	if reply, err := s.send(id, method, nil); !errors.Is(err, coupling.ErrUnknown) {
+	if reply, err := s.send(id, method, nil); !errors.Is(err, upstream.ErrUnknown) {
 		t.Fatalf("%s got %+v, %v", id, reply, err)
 	}
 }
@@ -121,8 +121,8 @@
 func TestOfWhatNothingWasWrittenNothingRan(t *testing.T) {
 	s := script(t, func(e exchange) bool { e.answer("200 OK", e.id, "x"); return true })
 	// The time to write is over after the last look and before the first byte.
-	reply, err := s.send("one", "POST", func(order *coupling.Order) { order.Last = time.Now().Add(-time.Second) })
-	if !errors.Is(err, coupling.ErrNotSent) || s.arrivals.Load() != 0 {
+	reply, err := s.send("one", "POST", func(order *upstream.Order) { order.Last = time.Now().Add(-time.Second) })
+	if !errors.Is(err, upstream.ErrNotSent) || s.arrivals.Load() != 0 {
 		t.Fatalf("got %+v, %v after %d arrivals", reply, err, s.arrivals.Load())
 	}
 }
@@ -228,7 +228,7 @@
 	left, leave := context.WithCancel(context.Background())
 	time.AfterFunc(30*time.Millisecond, leave)
 	began := time.Now()
-	if reply, err := s.send("one", "GET", func(order *coupling.Order) { order.Left = left }); !errors.Is(err, coupling.ErrUnknown) {
+	if reply, err := s.send("one", "GET", func(order *upstream.Order) { order.Left = left }); !errors.Is(err, upstream.ErrUnknown) {
 		t.Fatalf("got %+v, %v", reply, err)
 	}
 	if err := <-ended; err != io.EOF || time.Since(began) > 700*time.Millisecond {
--- a/internal/coupling/coupling_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,4 +1,4 @@
-package coupling_test
+package upstream_test
 
 import (
 	"io"
@@ -11,18 +11,18 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/coupling"
 	"ploverhitch/internal/standin"
+	"ploverhitch/internal/upstream"
 )
 
-func TestCoupling(t *testing.T) {
+func TestUpstream(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "coupling")
+	RunSpecs(t, "upstream")
 }
 
 var _ = Describe("a rack", func() {
 	var server *standin.Server
-	var rack *coupling.Rack
+	var rack *upstream.Rack
 	tries := 0
 
 	BeforeEach(func() {
@@ -30,18 +30,18 @@
 		server, err = standin.NewServer("i-1", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { server.Close() })
-		rack = &coupling.Rack{Address: server.Address(), Instance: "i-1"}
+		rack = &upstream.Rack{Address: server.Address(), Instance: "i-1"}
 	})
 
-	deliver := func(change func(*coupling.Order)) (*coupling.Reply, string, error) {
+	deliver := func(change func(*upstream.Order)) (*upstream.Reply, string, error) {
 		tries++
 		id := "try" + strconv.Itoa(tries)
 		header := http.Header{
-			coupling.HeaderAttempt: {id}, "Connection": {"X-Local, close"}, "X-Local": {"1"}, "X-Far": {"2"}, "Te": {"trailers"},
-			coupling.HeaderDeadline: {"999999"}, coupling.HeaderTarget: {"forged"},
+			upstream.HeaderAttempt: {id}, "Connection": {"X-Local, close"}, "X-Local": {"1"}, "X-Far": {"2"}, "Te": {"trailers"},
+			upstream.HeaderDeadline: {"999999"}, upstream.HeaderTarget: {"forged"},
 		}
-		order := coupling.Order{
-			Inquiry: &coupling.Inquiry{Method: "POST", Target: "/a/b?c=%2F", Host: "h", Header: header, Body: []byte("x"), HasBody: true, Attempt: id},
+		order := upstream.Order{
+			Inquiry: &upstream.Inquiry{Method: "POST", Target: "/a/b?c=%2F", Host: "h", Header: header, Body: []byte("x"), HasBody: true, Attempt: id},
 			Due:     time.Now().Add(5 * time.Second), Last: time.Now().Add(5 * time.Second), Connect: time.Second, Buffer: 1 << 20,
 		}
 		if change != nil {
@@ -66,13 +66,13 @@
 		func(act standin.Act) {
 			server.Next(act)
 			_, _, err := deliver(nil)
-			Expect(errors.Is(err, coupling.ErrUnknown)).To(BeTrue())
+			Expect(errors.Is(err, upstream.ErrUnknown)).To(BeTrue())
 			// Nothing was sent again, and the connection is not used again.
 			arrivals, _ := server.Counts()
 			Expect(arrivals).To(Equal(1))
 			reply, id, err := deliver(nil)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(reply.Header.Get(coupling.HeaderAttempt)).To(Equal(id))
+			Expect(reply.Header.Get(upstream.HeaderAttempt)).To(Equal(id))
 			_, conns := server.Counts()
 			Expect(conns).To(Equal(2))
 		},
@@ -101,32 +101,32 @@
 		Expect(err).NotTo(HaveOccurred())
 		server.Next(standin.CutBefore, standin.Answer)
 		_, _, err = deliver(nil)
-		Expect(errors.Is(err, coupling.ErrUnknown)).To(BeTrue())
+		Expect(errors.Is(err, upstream.ErrUnknown)).To(BeTrue())
 		arrivals, conns := server.Counts()
 		Expect(arrivals).To(Equal(2))
 		Expect(conns).To(Equal(1))
 	})
 
 	It("sends nothing once it may not, and says so", func() {
-		_, _, err := deliver(func(order *coupling.Order) { order.MaySend = func() bool { return false } })
-		Expect(errors.Is(err, coupling.ErrNotSent)).To(BeTrue())
+		_, _, err := deliver(func(order *upstream.Order) { order.MaySend = func() bool { return false } })
+		Expect(errors.Is(err, upstream.ErrNotSent)).To(BeTrue())
 		server.Close()
 		rack.Close()
 		_, _, err = deliver(nil)
-		Expect(errors.Is(err, coupling.ErrNotSent)).To(BeTrue())
+		Expect(errors.Is(err, upstream.ErrNotSent)).To(BeTrue())
 		Expect(server.Runs()).To(BeEmpty())
 	})
 
 	It("sends nothing to a server that has left, says so, and keeps the connection", func() {
 		_, _, err := deliver(nil)
 		Expect(err).NotTo(HaveOccurred())
-		hasLeft := func(order *coupling.Order) {
+		hasLeft := func(order *upstream.Order) {
 			order.IsServing = func() bool { return false }
 			order.MaySend = func() bool { defer GinkgoRecover(); Fail("asked though nothing is to be sent"); return true }
 		}
 		_, _, err = deliver(hasLeft)
-		Expect(errors.Is(err, coupling.ErrServerLeft)).To(BeTrue())
-		Expect(errors.Is(err, coupling.ErrNotSent)).To(BeTrue())
+		Expect(errors.Is(err, upstream.ErrServerLeft)).To(BeTrue())
+		Expect(errors.Is(err, upstream.ErrNotSent)).To(BeTrue())
 		_, _, err = deliver(nil)
 		Expect(err).NotTo(HaveOccurred())
 		arrivals, conns := server.Counts()
@@ -134,8 +134,8 @@
 		server.Close()
 		rack.Close()
 		_, _, err = deliver(hasLeft)
-		Expect(errors.Is(err, coupling.ErrServerLeft)).To(BeTrue(), "a server that ended in order is no failure")
-		Expect(errors.Is(err, coupling.ErrNotSent)).To(BeTrue())
+		Expect(errors.Is(err, upstream.ErrServerLeft)).To(BeTrue(), "a server that ended in order is no failure")
+		Expect(errors.Is(err, upstream.ErrNotSent)).To(BeTrue())
 	})
 
 	It("tells a server that did not run the inquiry", func() {
@@ -148,7 +148,7 @@
 	})
 
 	It("passes a large reply on in parts", func() {
-		reply, _, err := deliver(func(order *coupling.Order) { order.Buffer = 4 })
+		reply, _, err := deliver(func(order *upstream.Order) { order.Buffer = 4 })
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.Rest).NotTo(BeNil())
 		Expect(reply.Length).To(BeNumerically(">", 4))
@@ -156,7 +156,7 @@
 	})
 
 	It("hands a long success on as it comes, with an error where the server breaks off, and a failure whole", func() {
-		isPassedOn := func(order *coupling.Order) { order.PassOn = 4 }
+		isPassedOn := func(order *upstream.Order) { order.PassOn = 4 }
 		reply, id, err := deliver(isPassedOn)
 		Expect(err).NotTo(HaveOccurred())
 		text, err := io.ReadAll(reply.Rest)
@@ -174,7 +174,7 @@
 
 		server.Next(standin.NoSeal, standin.Fail500)
 		_, _, err = deliver(isPassedOn)
-		Expect(errors.Is(err, coupling.ErrUnknown)).To(BeTrue())
+		Expect(errors.Is(err, upstream.ErrUnknown)).To(BeTrue())
 		reply, _, err = deliver(isPassedOn)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.Rest).To(BeNil())
@@ -187,12 +187,12 @@
 var _ = Describe("the header rules", func() {
 	It("drop what concerns one connection and pass the rest back", func() {
 		to := http.Header{}
-		coupling.CopyBack(to, http.Header{
+		upstream.CopyBack(to, http.Header{
 			"Connection": {"X-Local"}, "X-Local": {"1"}, "Keep-Alive": {"timeout=9"}, "Transfer-Encoding": {"chunked"},
-			"X-Far": {"2"}, coupling.HeaderSeal: {"s"},
+			"X-Far": {"2"}, upstream.HeaderSeal: {"s"},
 		})
 		Expect(to).To(HaveKeyWithValue("X-Far", []string{"2"}))
-		Expect(to).To(HaveKeyWithValue(coupling.HeaderSeal, []string{"s"}))
+		Expect(to).To(HaveKeyWithValue(upstream.HeaderSeal, []string{"s"}))
 		for _, gone := range []string{"Connection", "X-Local", "Keep-Alive", "Transfer-Encoding"} {
 			Expect(to).NotTo(HaveKey(gone))
 		}
