DRAIN: the list is read zone by zone, side by side; a holder whose readings take too long gets company

The zones are those of the settings and of the servers known; a list of few servers is read as one, and so is one of a platform that shows no servers by zone. The first in the order also reads while the newest whole reading is older than 1.5 s. The holder takes 0.6 of the platform's rate, the first beside it 0.4.

--- a/cmd/measure/departures.go
+++ b/cmd/measure/departures.go
@@ -29,6 +29,7 @@
 	command.Flag("first", "The first seed.").Default("0").Uint64Var(&flags.first)
 	command.Flag("scenario", "Run only this scenario.").StringVar(&flags.only)
 	command.Flag("pages", "How many pages the platform's list has.").Default("15").IntVar(&flags.size.Pages)
+	command.Flag("zones", "How many zones they are of.").Default("6").IntVar(&flags.size.Zones)
 	command.Flag("rate", "How many calls a second the platform takes.").Default("50").Float64Var(&flags.size.Rate)
 	command.Flag("members", "How many members the view has.").Default("5").IntVar(&flags.size.Members)
 	command.Flag("proxies", "How many proxies there are.").Default("30").IntVar(&flags.size.Proxies)
--- a/internal/control/list_reader.go
+++ b/internal/control/list_reader.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
-	"net/url"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,170 +12,176 @@
 	"ploverhitch/internal/timetable"
 )
 
-type listed struct {
-	InstanceId string         `json:"InstanceId"`
-	Service    string         `json:"Service"`
-	Address    string         `json:"Address"`
-	Cell       string         `json:"Zone"`
-	Revision   string         `json:"Revision"`
-	Capacity   int            `json:"Capacity"`
-	State      string         `json:"State"`
-	WarmupLeft timetable.Span `json:"WarmupLeft"`
-}
-
-type listPage struct {
-	Instances []listed `json:"Instances"`
-	NextToken *string  `json:"NextToken"`
-}
-
 const (
-	// pageTries is how many calls a page gets, and pageSpan how long they may take
-	// together.
-	pageTries = 3
-	pageSpan  = 800 * time.Millisecond
-	// A call that has not answered after patienceTimes the usual time, and
-	// patienceLeast at least, gets another beside it; where the platform is slow for
-	// long, that becomes the usual, and no more calls are made than before.
-	patienceTimes = 6
-	patienceLeast = 250 * time.Millisecond
-	// usualWeight is how much one call weighs in the usual time.
-	usualWeight = 0.1
-	// retryPause is how long after a page was refused it is asked for again.
-	retryPause = 100 * time.Millisecond
 	// resumeSpan is how long after a reading began a page that failed may be asked for
 	// again with the pages before it kept.
 	resumeSpan = 2 * time.Second
+	// zonedLeast is how many servers a zone has on average where the list is read zone
+	// by zone: with fewer, that takes more calls than the pages of all together.
+	zonedLeast = 60
+	// lostPart is the part of the servers known that a reading by zone must show: where
+	// the platform knows the zones by other names, it shows none.
+	lostPart = 0.5
 )
 
-// listReading is one reading of the whole list, page by page.
+// listReading is one reading of the whole list.
 type listReading struct {
 	servers []feed.Server
 	// calls is how many calls this part of the reading took.
 	calls int
-	// began is when its first page was asked for.
+	// began is when its first pages were asked for.
 	began timetable.Steady
 }
 
-// unfinished is a reading whose next page could not be had.
-type unfinished struct {
-	listReading
-	token string
+// zoneReading is how far the pages of one zone, or of all, have been read.
+type zoneReading struct {
+	pageOf
+	servers []feed.Server
+	isWhole bool
+	// isAgain: its next page has failed before.
+	isAgain bool
 }
 
-// listReader reads the platform's list, page by page.
+// zoneAnswer is the answer to one zone's page.
+type zoneAnswer struct {
+	zone   *zoneReading
+	answer pageAnswer
+}
+
+// listReader reads the platform's list: the zones side by side, the pages of each one
+// after the other.
 type listReader struct {
-	client *http.Client
+	caller *pageCaller
 	clock  timetable.Clock
-	// address is where the platform answers.
-	address func() string
+	// zones, if set, are those to read side by side, or none where all are read as one;
+	// known is how many servers are known.
+	zones func() (zones []string, known int)
 	// onPage, if set, is given each page as it comes.
 	onPage func([]feed.Server)
-	// rest is the reading to go on with, if there is one.
-	rest *unfinished
-	// calls counts the calls of the present reading.
-	calls int
+	// rest are the zones of a reading to go on with, and restBegan when it began.
+	rest      []*zoneReading
+	restBegan timetable.Steady
 	// usual is how long a call usually takes, smoothed.
 	usual time.Duration
+	// isUnzoned: the platform doesn't know the zones by their names.
+	isUnzoned bool
 }
 
 func newListReader(clock timetable.Clock, address func() string) *listReader {
-	transport := &http.Transport{DisableCompression: true, MaxIdleConns: 2}
-	return &listReader{client: &http.Client{Transport: transport}, clock: clock, address: address}
+	return &listReader{caller: newPageCaller(clock, address), clock: clock}
 }
 
-// read reads the list to its end, from the page at which the last reading failed, if
-// that is not long ago. A page that fails again takes the pages before it with it, as
-// its token may be what is wrong.
+// zonesOf are the zones to read side by side: those of the settings and of the servers
+// that are known, unless there are few servers.
+func zonesOf(settled map[string]string, servers []feed.Server) (zones []string) {
+	names := map[string]bool{}
+	for zone := range settled {
+		names[zone] = true
+	}
+	for _, server := range servers {
+		names[server.Cell] = true
+	}
+	delete(names, "")
+	if len(names) < 2 || len(servers) < zonedLeast*len(names) {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// read reads the list to its end, from the pages at which the last reading failed, if
+// that is not long ago. A page that fails again takes the whole reading with it, as its
+// token may be what is wrong.
 func (r *listReader) read(ctx context.Context) (listReading, error) {
-	now := r.clock.Steady()
-	under, isResumed := unfinished{listReading: listReading{began: now}}, false
-	if r.rest != nil && time.Duration(now-r.rest.began) < resumeSpan {
-		under, isResumed = *r.rest, true
-	}
-	r.rest, r.calls = nil, 0
-	for {
-		page, err := r.page(ctx, under.token)
-		under.calls = r.calls
-		if err != nil {
-			if !isResumed && under.token != "" {
-				r.rest = &under
-			}
-			return under.listReading, err
+	out, under, known := r.begin()
+	answers, active := make(chan zoneAnswer), 0
+	ask := func(zone *zoneReading) {
+		active++
+		usual := r.usual
+		go func() { answers <- zoneAnswer{zone, r.caller.page(ctx, zone.pageOf, usual)} }()
+	}
+	for _, zone := range under {
+		if !zone.isWhole {
+			ask(zone)
+		}
+	}
+	var failed error
+	for active > 0 {
+		got := <-answers
+		active--
+		out.calls += got.answer.calls
+		r.learn(got.answer.took)
+		if got.answer.err != nil {
+			failed = got.answer.err
+			continue
 		}
-		isResumed = false
-		under.servers = append(under.servers, r.take(page)...)
-		if page.NextToken == nil || *page.NextToken == "" {
-			return under.listReading, nil
+		if r.take(got); !got.zone.isWhole {
+			ask(got.zone)
 		}
-		under.token = *page.NextToken
 	}
-}
-
-// take is a page's servers, which whoever waits for pages is given at once.
-func (r *listReader) take(page listPage) (servers []feed.Server) {
-	now := r.clock.Wall()
-	for _, entry := range page.Instances {
-		servers = append(servers, entry.server(now))
+	if failed != nil {
+		r.keep(under, out.began)
+		return out, failed
 	}
-	if r.onPage != nil {
-		r.onPage(servers)
+	for _, zone := range under {
+		out.servers = append(out.servers, zone.servers...)
+	}
+	if len(under) > 1 && float64(len(out.servers)) < lostPart*float64(known) {
+		r.isUnzoned = true
+		return out, errors.NotFoundf("most servers, reading by zone,")
 	}
-	return servers
+	return out, nil
 }
 
-// server is the entry as the fleet's news tell it.
-func (l listed) server(now time.Time) feed.Server {
-	out := feed.Server{
-		ID: l.InstanceId, Service: l.Service, Address: l.Address, Cell: l.Cell, Capacity: l.Capacity,
-		IsReady: l.State == "ready", Revision: l.Revision,
+// begin is a reading's beginning: that of the last, if it can be gone on with.
+func (r *listReader) begin() (out listReading, under []*zoneReading, known int) {
+	out.began = r.clock.Steady()
+	under, r.rest = r.rest, nil
+	var zones []string
+	if r.zones != nil && !r.isUnzoned {
+		zones, known = r.zones()
+	}
+	if len(under) > 0 && time.Duration(out.began-r.restBegan) < resumeSpan {
+		out.began = r.restBegan
+		return out, under, known
 	}
-	if l.WarmupLeft > 0 {
-		out.WarmMs = now.Add(l.WarmupLeft.Std()).UnixMilli()
+	if under = nil; len(zones) == 0 {
+		return out, []*zoneReading{{}}, known
 	}
-	return out
+	for _, zone := range zones {
+		under = append(under, &zoneReading{pageOf: pageOf{zone: zone}})
+	}
+	return out, under, known
 }
 
-// pageAnswer is how one call for a page ended.
-type pageAnswer struct {
-	page listPage
-	err  error
-	took time.Duration
+// keep keeps a reading to go on with, unless a page failed again.
+func (r *listReader) keep(under []*zoneReading, began timetable.Steady) {
+	hasAny := false
+	for _, zone := range under {
+		if !zone.isWhole && zone.isAgain {
+			return
+		}
+		zone.isAgain = !zone.isWhole
+		hasAny = hasAny || len(zone.servers) > 0
+	}
+	if hasAny {
+		r.rest, r.restBegan = under, began
+	}
 }
 
-// page asks for a page, and once more beside a call that is slow or has failed: the
-// first good answer counts. One slow call must not hold up the whole reading.
-func (r *listReader) page(ctx context.Context, token string) (page listPage, err error) {
-	ctx, cancel := context.WithTimeout(ctx, pageSpan)
-	defer cancel()
-	answers := make(chan pageAnswer, pageTries)
-	patience := time.NewTicker(max(patienceLeast, patienceTimes*r.usual))
-	defer patience.Stop()
-	made, failed := 0, 0
-	ask := func() {
-		made++
-		r.calls++
-		go func() { answers <- r.call(ctx, token) }()
-	}
-	ask()
-	for {
-		select {
-		case answer := <-answers:
-			if answer.err == nil {
-				r.learn(answer.took)
-				return answer.page, nil
-			}
-			if failed++; failed == pageTries {
-				return page, answer.err
-			}
-			patience.Reset(retryPause)
-		case <-patience.C:
-			if made < pageTries {
-				ask()
-			}
-		case <-ctx.Done():
-			r.learn(pageSpan)
-			return page, errors.Annotate(ctx.Err(), "a page of the platform's list")
-		}
+// take notes a zone's page, which whoever waits for pages is given at once.
+func (r *listReader) take(got zoneAnswer) {
+	now := r.clock.Wall()
+	var servers []feed.Server
+	for _, entry := range got.answer.page.Instances {
+		servers = append(servers, entry.server(now))
+	}
+	zone, next := got.zone, got.answer.page.NextToken
+	zone.servers, zone.isAgain = append(zone.servers, servers...), false
+	if zone.isWhole = next == nil || *next == ""; !zone.isWhole {
+		zone.token = *next
+	}
+	if r.onPage != nil {
+		r.onPage(servers)
 	}
 }
 
@@ -187,32 +191,3 @@
 	}
 	r.usual += time.Duration(usualWeight * float64(took-r.usual))
 }
-
-// call is one call for a page.
-func (r *listReader) call(ctx context.Context, token string) (out pageAnswer) {
-	began := r.clock.Steady()
-	address := "http://" + r.address() + "/instances"
-	if token != "" {
-		address += "?PageToken=" + url.QueryEscape(token)
-	}
-	out.page, out.err = r.get(ctx, address)
-	out.took = time.Duration(r.clock.Steady() - began)
-	return out
-}
-
-func (r *listReader) get(ctx context.Context, address string) (page listPage, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return page, errors.Trace(err)
-	}
-	response, err := r.client.Do(request)
-	if err != nil {
-		return page, errors.Trace(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, response.Body)
-		return page, errors.Errorf("the list answered %d", response.StatusCode)
-	}
-	return page, errors.Trace(json.NewDecoder(response.Body).Decode(&page))
-}
--- /dev/null
+++ b/internal/control/list_zones_test.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/timetable"
+)
+
+var _ = Describe("a reading of the list by zone", func() {
+	const pages = 2
+	names := []string{"a", "b", "c"}
+	// zoned serves a list of some pages a zone, one server each; act may answer a call
+	// otherwise.
+	zoned := func(act func(zone string, w http.ResponseWriter, r *http.Request) (isDone bool)) *listReader {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			zone := r.URL.Query().Get("Zone")
+			if act(zone, w, r) {
+				return
+			}
+			page, next := 0, "null"
+			_, _ = fmt.Sscan(r.URL.Query().Get("PageToken"), &page)
+			if page+1 < pages {
+				next = fmt.Sprintf("%q", fmt.Sprint(page+1))
+			}
+			_, _ = fmt.Fprintf(w, `{"Instances":[{"InstanceId":"%s-%d","Zone":%q,"State":"ready"}],"NextToken":%s}`, zone, page, zone, next)
+		}))
+		DeferCleanup(server.Close)
+		reader := newListReader(timetable.Real(), func() string { return strings.TrimPrefix(server.URL, "http://") })
+		reader.zones = func() ([]string, int) { return names, pages * len(names) }
+		return reader
+	}
+	ids := func(servers []feed.Server) (out []string) {
+		for _, server := range servers {
+			out = append(out, server.ID)
+		}
+		return out
+	}
+	all := []string{"a-0", "a-1", "b-0", "b-1", "c-0", "c-1"}
+
+	It("reads the zones side by side, the pages of each in their order", func() {
+		var calls atomic.Int64
+		reader := zoned(func(string, http.ResponseWriter, *http.Request) bool {
+			calls.Add(1)
+			time.Sleep(50 * time.Millisecond)
+			return false
+		})
+		began := time.Now()
+		read, err := reader.read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond), "one after the other takes 300 ms")
+		Expect(ids(read.servers)).To(Equal(all))
+		Expect(read.calls).To(Equal(pages * len(names)))
+		Expect(calls.Load()).To(BeEquivalentTo(pages * len(names)))
+	})
+
+	It("tells the pages of the others while one zone's hang, and asks only for those again", func() {
+		var isHanging atomic.Bool
+		isHanging.Store(true)
+		reader := zoned(func(zone string, _ http.ResponseWriter, r *http.Request) bool {
+			if zone == "b" && isHanging.Load() {
+				<-r.Context().Done()
+				return true
+			}
+			return false
+		})
+		var lock sync.Mutex
+		var shown []string
+		reader.onPage = func(servers []feed.Server) {
+			lock.Lock()
+			defer lock.Unlock()
+			shown = append(shown, ids(servers)...)
+		}
+		_, err := reader.read(context.Background())
+		Expect(err).To(HaveOccurred())
+		Expect(shown).To(ConsistOf("a-0", "a-1", "c-0", "c-1"))
+		isHanging.Store(false)
+		read, err := reader.read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.calls).To(Equal(pages))
+		Expect(ids(read.servers)).To(Equal(all))
+	})
+
+	It("reads all as one where the platform does not know the zones by their names", func() {
+		reader := zoned(func(zone string, w http.ResponseWriter, _ *http.Request) bool {
+			if zone != "" {
+				_, _ = fmt.Fprint(w, `{"Instances":[],"NextToken":null}`)
+			}
+			return zone != ""
+		})
+		_, err := reader.read(context.Background())
+		Expect(err).To(HaveOccurred())
+		read, err := reader.read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ids(read.servers)).To(Equal([]string{"-0", "-1"}))
+	})
+
+	It("is made where the zones are large, of the zones in the settings and of those that servers show", func() {
+		settled := map[string]string{"a": "r", "b": "r"}
+		var servers []feed.Server
+		for range 2*zonedLeast - 1 {
+			servers = append(servers, feed.Server{Cell: "a"})
+		}
+		Expect(zonesOf(settled, servers)).To(BeEmpty())
+		servers = append(servers, feed.Server{Cell: "a"})
+		Expect(zonesOf(settled, servers)).To(Equal([]string{"a", "b"}))
+		for range zonedLeast {
+			servers = append(servers, feed.Server{Cell: "c"})
+		}
+		Expect(zonesOf(settled, servers)).To(Equal([]string{"a", "b", "c"}))
+		Expect(zonesOf(map[string]string{"a": "r"}, servers[:2*zonedLeast])).To(BeEmpty(), "one zone is all")
+	})
+})
--- a/internal/control/listing/pace.go
+++ b/internal/control/listing/pace.go
@@ -8,10 +8,11 @@
 
 const (
 	// HolderShare is the part of the platform's rate that the holder of the duty takes
-	// at most; the first that reads in its stead takes as much, beside a holder that is
-	// only slow, and those after it laterShare.
-	HolderShare = 0.5
-	laterShare  = 0.25
+	// at most; firstShare, what is left, is for the first that reads in its stead, beside
+	// a holder that is only slow, and laterShare for those after it.
+	HolderShare = 0.6
+	firstShare  = 0.4
+	laterShare  = 0.2
 	// leastRest is the least time between two readings.
 	leastRest = 50 * time.Millisecond
 	// PageDue is within which span of a call or of another page a page is due. A call
@@ -27,10 +28,14 @@
 //
 //	rate := settings.RatePerS * listing.ShareOf(listing.Rank(view, holder, self))
 func ShareOf(rank int) float64 {
-	if rank <= 0 {
+	switch {
+	case rank < 0:
 		return HolderShare
+	case rank == 0:
+		return firstShare
+	default:
+		return laterShare
 	}
-	return laterShare
 }
 
 // Pace is how often a member reads the list.
--- a/internal/control/listing/watch.go
+++ b/internal/control/listing/watch.go
@@ -13,6 +13,9 @@
 	// read, and step how much longer each member after it waits.
 	margin = 150 * time.Millisecond
 	step   = 300 * time.Millisecond
+	// oldest is how old the newest whole reading may be: pages may come in time and
+	// the whole still take too long, where the reader's processor is short.
+	oldest = 1500 * time.Millisecond
 	// grace is how long after a watch began the first page is due.
 	grace = 1500 * time.Millisecond
 )
@@ -89,7 +92,8 @@
 }
 
 // IsOverdue tells whether a member is to read the list now: nobody else has read a page
-// in time, nor has anybody before it in the order begun to.
+// in time, nor has anybody before it in the order begun to; or it is the first in the
+// order, and the newest whole reading is too old.
 //
 // Example:
 //
@@ -99,7 +103,9 @@
 	if rank < 0 {
 		return false
 	}
-	return now > w.dueFromOthers(self)+timetable.Steady(margin+time.Duration(rank)*step)
+	patience := timetable.Steady(margin + time.Duration(rank)*step)
+	isOld := rank == 0 && w.isRead && now > w.readAt+timetable.Steady(oldest)+patience
+	return isOld || now > w.dueFromOthers(self)+patience
 }
 
 // dueFromOthers is by when somebody other than the member was to read a page.
--- a/internal/control/listing/watch_test.go
+++ b/internal/control/listing/watch_test.go
@@ -58,6 +58,24 @@
 		Expect(overdue(watch, after(2100*time.Millisecond))).To(BeEmpty())
 	})
 
+	It("lets others read beside a holder whose pages come in time, but whose readings take too long", func() {
+		watch := listing.NewWatch(start)
+		watch.Read(200*time.Millisecond, start)
+		late := after(0)
+		for late < after(1400*time.Millisecond) {
+			late += timetable.Steady(100 * time.Millisecond)
+			watch.Hear(holder, 300*time.Millisecond, late)
+		}
+		Expect(overdue(watch, late)).To(BeEmpty())
+		for late < after(1600*time.Millisecond) {
+			late += timetable.Steady(100 * time.Millisecond)
+			watch.Hear(holder, 300*time.Millisecond, late)
+		}
+		Expect(overdue(watch, late)).To(ConsistOf(0))
+		watch.Read(300*time.Millisecond, late)
+		Expect(overdue(watch, late)).To(BeEmpty())
+	})
+
 	It("counts the last holder's reading until the next is due, whoever holds the duty now", func() {
 		watch := listing.NewWatch(start)
 		watch.Hear(ranked(2), 800*time.Millisecond, after(5*time.Second))
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -33,6 +33,10 @@
 // pollPlatform polls the list until the context ends.
 func (n *node) pollPlatform(ctx context.Context) {
 	poll := &listPoll{node: n, reader: newListReader(n.clock, func() string { return n.set.Load().Platform.CloudApi.Address })}
+	poll.reader.zones = func() ([]string, int) {
+		servers := n.fleet().Servers
+		return zonesOf(n.set.Load().Platform.Cells, servers), len(servers)
+	}
 	n.isFit.Store(true)
 	for ctx.Err() == nil {
 		pause := time.NewTimer(poll.turn(ctx))
--- a/internal/emulator/departure/member.go
+++ b/internal/emulator/departure/member.go
@@ -30,7 +30,7 @@
 	rest     *reading
 	failures int
 	// Until when what goes wrong lasts.
-	deadUntil, frozenUntil, diskUntil, platformUntil, coordinatorUntil, unfitUntil virtual.Time
+	deadUntil, frozenUntil, diskUntil, platformUntil, coordinatorUntil, unfitUntil, busyUntil virtual.Time
 	// toldAt is when the member last told that it reads the list.
 	toldAt virtual.Time
 	// beatAt is when a heartbeat was sent last.
--- a/internal/emulator/departure/options.go
+++ b/internal/emulator/departure/options.go
@@ -4,8 +4,8 @@
 
 // Size is how large a deployment is.
 type Size struct {
-	// Pages is how many pages the platform's list has.
-	Pages int
+	// Pages is how many pages the platform's list has, in so many Zones.
+	Pages, Zones int
 	// Rate is how many calls a second the platform takes from all nodes.
 	Rate float64
 	// Members is how many members the view has, Proxies how many proxies follow them.
@@ -15,7 +15,7 @@
 // Scenario is what goes wrong in a run.
 type Scenario string
 
-// The scenarios. In the first seven the core counts as settled throughout.
+// The scenarios. In the first eight the core counts as settled throughout.
 const (
 	Calm Scenario = "calm"
 	// PlatformSlow: one call in twenty hangs, and all take longer.
@@ -28,6 +28,9 @@
 	LinksFull Scenario = "links-full"
 	// Busy: processors are short, at the holder and at the proxies.
 	Busy Scenario = "busy"
+	// HolderBusy: the holder's own processor is short, as while a member rebuilds from
+	// it, and each page takes long.
+	HolderBusy Scenario = "holder-busy"
 	// DutyMoves: the holder becomes unfit and fit again.
 	DutyMoves Scenario = "duty-moves"
 	// HolderKilled, HolderFrozen and DiskStalled strike the holder.
@@ -44,7 +47,7 @@
 //
 //	for _, scenario := range departure.Scenarios() { run(scenario) }
 func Scenarios() []Scenario {
-	return []Scenario{Calm, PlatformSlow, ReaderStuck, CoordinatorHeld, LinksFull, Busy, DutyMoves, HolderKilled, HolderFrozen, DiskStalled, Mixed}
+	return []Scenario{Calm, PlatformSlow, ReaderStuck, CoordinatorHeld, LinksFull, Busy, HolderBusy, DutyMoves, HolderKilled, HolderFrozen, DiskStalled, Mixed}
 }
 
 // Guards are the rules of the chain that can be taken out.
@@ -59,6 +62,8 @@
 	IsFreshList bool
 	// IsResumed: a reading whose page failed goes on from there.
 	IsResumed bool
+	// IsByZone: the zones of the list are read side by side.
+	IsByZone bool
 }
 
 // Present are the rules as they are in force.
@@ -67,7 +72,7 @@
 //
 //	result := departure.Run(departure.Options{Guards: departure.Present()})
 func Present() Guards {
-	return Guards{IsFinal: true, IsByPage: true, IsByReadings: true, IsFreshList: true, IsResumed: true}
+	return Guards{IsFinal: true, IsByPage: true, IsByReadings: true, IsFreshList: true, IsResumed: true, IsByZone: true}
 }
 
 // Options choose one run.
@@ -104,6 +109,8 @@
 	standbyFrom = silentAfter / 2
 	standbyTo   = 4 * time.Second
 	watchers    = 2
+	// oldShare is the part of the platform's rate that the holder once took.
+	oldShare = 0.5
 	// markSpan is how long a proxy once held a report that a server leaves.
 	markSpan = 10 * time.Second
 	// A page gets another call beside one that is late, and fails in the end.
--- a/internal/emulator/departure/platform.go
+++ b/internal/emulator/departure/platform.go
@@ -96,6 +96,9 @@
 	if w.Now < w.busyUntil {
 		took += w.between(0, 60*time.Millisecond)
 	}
+	if w.Now < of.busyUntil {
+		took += w.between(60*time.Millisecond, 230*time.Millisecond)
+	}
 	hangs, slow := 0.0005, 0.01
 	if w.Now < w.platformSlowUntil {
 		took, hangs, slow = 2*took, 0.02, 0.1
--- a/internal/emulator/departure/reader.go
+++ b/internal/emulator/departure/reader.go
@@ -9,15 +9,34 @@
 	"ploverhitch/internal/feed"
 )
 
-// reading is a reading of the list under way.
+// reading is a reading of the list under way, lane by lane.
 type reading struct {
-	began     virtual.Time
-	first     virtual.Time
-	page      int
-	servers   []feed.Server
-	calls     int
-	isHolder  bool
-	isResumed bool
+	began, first        virtual.Time
+	lanes               []*lane
+	active              int
+	servers             []feed.Server
+	calls               int
+	isHolder, isResumed bool
+	hasFailed           bool
+}
+
+// lane is the pages of one zone, or of all, of which the first are still to be read.
+type lane struct{ pages []int }
+
+// newLanes are the lanes of a whole reading.
+func (w *world) newLanes() (out []*lane) {
+	zones := 1
+	if w.options.Guards.IsByZone {
+		zones = max(1, w.options.Size.Zones)
+	}
+	for range zones {
+		out = append(out, &lane{})
+	}
+	for page := range w.platform.pages {
+		one := out[page%zones]
+		one.pages = append(one.pages, page)
+	}
+	return out
 }
 
 // turnLater has the member look after a while whether it is to read the list. Only the
@@ -38,12 +57,17 @@
 		return
 	}
 	now := m.world.Now
-	m.reading = &reading{began: now, first: now, isHolder: m.isHolder}
+	m.reading = &reading{began: now, first: now, isHolder: m.isHolder, lanes: m.world.newLanes()}
 	if old := m.rest; old != nil && m.world.options.Guards.IsResumed && now-old.first < resumeSpan {
-		m.reading.first, m.reading.page, m.reading.servers, m.reading.isResumed = old.first, old.page, old.servers, true
+		m.reading.first, m.reading.lanes, m.reading.servers, m.reading.isResumed = old.first, old.lanes, old.servers, true
 	}
 	m.rest = nil
-	m.askPage(m.reading)
+	for _, one := range m.reading.lanes {
+		if len(one.pages) > 0 {
+			m.reading.active++
+			m.askPage(m.reading, one)
+		}
+	}
 }
 
 // standsBy tells whether the member is to read in the holder's stead.
@@ -70,13 +94,13 @@
 	return m.beatAt
 }
 
-// askPage makes the calls for the page at which the reading stands.
-func (m *member) askPage(r *reading) {
-	began, number, made, failed, isDone := m.world.Now, r.page, 0, 0, false
+// askPage makes the calls for the page at which a lane stands.
+func (m *member) askPage(r *reading, of *lane) {
+	began, number, made, failed, isDone := m.world.Now, of.pages[0], 0, 0, false
 	fail := func() {
 		if !isDone {
-			isDone = true
-			m.fail(r)
+			isDone, r.hasFailed = true, true
+			m.endLane(r)
 		}
 	}
 	var ask func()
@@ -104,7 +128,7 @@
 				m.later(took-took/2, func() {
 					if !isDone && m.world.Now-began < pageSpan {
 						isDone = true
-						m.gotPage(r, page)
+						m.gotPage(r, of, page)
 					}
 				})
 			})
@@ -115,11 +139,10 @@
 	m.later(pageSpan, fail)
 }
 
-func (m *member) gotPage(r *reading, page []feed.Server) {
+func (m *member) gotPage(r *reading, of *lane, page []feed.Server) {
 	if m.reading != r {
 		return
 	}
-	r.isResumed = false
 	r.servers = append(r.servers, page...)
 	m.world.noteRead(page)
 	if m.world.options.Guards.IsByPage {
@@ -128,19 +151,28 @@
 	if m.world.Now-m.toldAt >= listing.ProgressPeriod {
 		m.tellProgress(listing.PageDue)
 	}
-	if r.page++; r.page < len(m.world.platform.pages) {
-		m.askPage(r)
+	if of.pages = of.pages[1:]; len(of.pages) > 0 {
+		m.askPage(r, of)
 		return
 	}
-	m.finishReading(r)
+	m.endLane(r)
+}
+
+// endLane ends the reading with its last lane.
+func (m *member) endLane(r *reading) {
+	r.active--
+	switch {
+	case m.reading != r || r.active > 0:
+	case r.hasFailed:
+		m.fail(r)
+	default:
+		m.finishReading(r)
+	}
 }
 
 // fail ends a reading whose page could not be had.
 func (m *member) fail(r *reading) {
-	if m.reading != r {
-		return
-	}
-	if m.reading = nil; !r.isResumed && r.page > 0 {
+	if m.reading = nil; !r.isResumed && len(r.servers) > 0 {
 		m.rest = r
 	}
 	if m.failures++; m.failures == failedPolls && r.isHolder {
@@ -168,9 +200,21 @@
 		m.tellLeaving(servers)
 	}
 	m.tellProgress(wait + listing.PageDue)
+	m.tellRead(r.first)
 	m.turnLater(wait)
 }
 
+// tellRead tells every member that this one has read the whole list.
+func (m *member) tellRead(began virtual.Time) {
+	age := m.world.Now - began
+	m.watch.Read(age, m.world.steady())
+	for _, to := range m.world.members {
+		if to != m {
+			m.deliver(to, func() { to.watch.Read(age, m.world.steady()) })
+		}
+	}
+}
+
 // tellProgress tells every member that this one reads the list.
 func (m *member) tellProgress(next time.Duration) {
 	m.toldAt = m.world.Now
@@ -192,7 +236,7 @@
 	began, ended := steadyOf(r.began), w.steady()
 	if !w.options.Guards.IsByReadings {
 		// Once the rest was counted from the end of a reading.
-		rest := time.Duration(float64(r.calls) / (listing.HolderShare * w.options.Size.Rate) * float64(time.Second))
+		rest := time.Duration(float64(r.calls) / (oldShare * w.options.Size.Rate) * float64(time.Second))
 		return max(r.began+pollPeriod-w.Now, rest)
 	}
 	pace := listing.Pace{Period: pollPeriod, Rate: w.options.Size.Rate * listing.ShareOf(rank)}
--- a/internal/emulator/departure/world.go
+++ b/internal/emulator/departure/world.go
@@ -131,6 +131,8 @@
 		w.linksFullUntil = w.Now + span
 	case Busy:
 		w.busyUntil = w.Now + span
+	case HolderBusy:
+		victim.busyUntil = w.Now + span
 	case DutyMoves:
 		victim.unfitUntil = w.Now + span
 	case HolderKilled:
