Readings of the list: a holder without its lease takes the smallest share; its own readings are no word of others

A node that reached no majority heard its own readings and so never counted as alone: it would have read for as long as a cut lasted. A holder that is cut off went on at the holder's share beside its successor, 1.2 of the platform's rate in sum. The rest after a reading goes by what the node is now, so one that takes the duty need not wait out the longer rest of one that has none.

--- a/internal/control/listing/pace.go
+++ b/internal/control/listing/pace.go
@@ -9,10 +9,10 @@
 const (
 	// HolderShare is the part of the platform's rate that the holder of the duty takes
 	// at most; firstShare, what is left, is for the first that reads in its stead, beside
-	// a holder that is only slow, and laterShare for those after it.
+	// a holder that is only slow, and LaterShare for all others that read.
 	HolderShare = 0.6
 	firstShare  = 0.4
-	laterShare  = 0.2
+	LaterShare  = 0.2
 	// leastRest is the least time between two readings.
 	leastRest = 50 * time.Millisecond
 	// PageDue is within which span of a call or of another page a page is due. A call
@@ -34,7 +34,7 @@
 	case rank == 0:
 		return firstShare
 	default:
-		return laterShare
+		return LaterShare
 	}
 }
 
--- a/internal/control/listing/watch.go
+++ b/internal/control/listing/watch.go
@@ -24,8 +24,8 @@
 type Watch struct {
 	began timetable.Steady
 	due   map[string]timetable.Steady
-	// heard is when a page of any member was heard of last.
-	heard timetable.Steady
+	// heard is when each member told of a page last.
+	heard map[string]timetable.Steady
 	// readAt is when the newest complete reading that is known of began.
 	readAt timetable.Steady
 	isRead bool
@@ -37,7 +37,7 @@
 //
 //	watch := listing.NewWatch(clock.Steady())
 func NewWatch(now timetable.Steady) *Watch {
-	return &Watch{began: now, heard: now, due: map[string]timetable.Steady{}}
+	return &Watch{began: now, heard: map[string]timetable.Steady{}, due: map[string]timetable.Steady{}}
 }
 
 // Hear notes that a member has read a page, and within which span it is to read the
@@ -47,7 +47,7 @@
 //
 //	watch.Hear("10.0.0.2:7200", 800*time.Millisecond, clock.Steady())
 func (w *Watch) Hear(member string, next time.Duration, now timetable.Steady) {
-	w.due[member], w.heard = now+timetable.Steady(next), now
+	w.due[member], w.heard[member] = now+timetable.Steady(next), now
 }
 
 // Read notes a whole reading, which began so long ago.
@@ -71,12 +71,20 @@
 	return time.Duration(now - w.readAt), w.isRead
 }
 
-// Silence is for how long nothing was heard of any member's reading.
+// Silence is for how long nothing was heard of the readings of others.
 //
 // Example:
 //
-//	isAlone := watch.Silence(clock.Steady()) > 4*time.Second
-func (w *Watch) Silence(now timetable.Steady) time.Duration { return time.Duration(now - w.heard) }
+//	isAlone := watch.Silence(self, clock.Steady()) > 4*time.Second
+func (w *Watch) Silence(self string, now timetable.Steady) time.Duration {
+	latest := w.began
+	for member, at := range w.heard {
+		if member != self {
+			latest = max(latest, at)
+		}
+	}
+	return time.Duration(now - latest)
+}
 
 // Rank is a member's place in the order of those that read in the holder's stead, or
 // -1 if it has none.
--- a/internal/control/listing/watch_test.go
+++ b/internal/control/listing/watch_test.go
@@ -109,6 +109,7 @@
 		age, isKnown := watch.Age(after(time.Second))
 		Expect(isKnown).To(BeTrue())
 		Expect(age).To(Equal(1200 * time.Millisecond))
-		Expect(watch.Silence(after(time.Second))).To(Equal(900 * time.Millisecond))
+		Expect(watch.Silence(holder, after(time.Second))).To(Equal(900 * time.Millisecond))
+		Expect(watch.Silence(ranked(0), after(time.Second))).To(Equal(time.Second), "its own reading is no word of another")
 	})
 })
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -26,6 +26,11 @@
 	*node
 	reader   *listReader
 	failures int
+	// last is the last reading.
+	last struct {
+		began, ended timetable.Steady
+		calls        int
+	}
 	// toldAt is when this node last told that it reads the list.
 	toldAt timetable.Steady
 }
@@ -48,8 +53,8 @@
 	}
 }
 
-// turn reads the list once, if it is this node's to read, and tells after how long
-// the next turn is due.
+// turn reads the list once, if it is this node's to read and time to, and tells after
+// how long to look again.
 func (p *listPoll) turn(ctx context.Context) (wait time.Duration) {
 	isHolder := p.isHolder.Load()
 	if !isHolder {
@@ -58,11 +63,14 @@
 			return readerLook
 		}
 	}
+	if rest := p.rest(isHolder); rest > 0 {
+		return min(rest, readerLook)
+	}
 	p.reader.onPage = p.tookPage
-	began := p.clock.Steady()
+	p.last.began = p.clock.Steady()
 	read, err := p.reader.read(ctx)
-	ended := p.clock.Steady()
-	due := p.pace(isHolder).Next(began, ended, read.calls)
+	p.last.ended, p.last.calls = p.clock.Steady(), read.calls
+	rest := p.rest(isHolder)
 	if isHolder {
 		p.took(err)
 	}
@@ -71,10 +79,20 @@
 			p.coordinator.loop.Offer(func() { p.coordinator.list(read.servers) })
 		}
 		p.tellProgress(messages.ListProgress{
-			IsWhole: true, Age: timetable.Span(ended - read.began), Next: timetable.Span(due-ended) + timetable.Span(listing.PageDue),
+			IsWhole: true, Age: timetable.Span(p.last.ended - read.began), Next: timetable.Span(rest + listing.PageDue),
 		})
 	}
-	return time.Duration(due - ended)
+	return min(rest, readerLook)
+}
+
+// rest is how long this node waits before it reads again, as what it is now: a node that
+// takes the duty meanwhile need not wait as long as one that has none.
+func (p *listPoll) rest(isHolder bool) time.Duration {
+	if p.last.calls == 0 {
+		return 0
+	}
+	due := p.pace(isHolder).Next(p.last.began, p.last.ended, p.last.calls)
+	return time.Duration(due - p.clock.Steady())
 }
 
 // tookPage tells which servers leave by one page, which cannot wait for the rest of the
@@ -87,14 +105,18 @@
 	}
 }
 
-// pace is how often this node may read the list.
+// pace is how often this node may read the list. A holder whose lease has ended may have
+// a successor that it doesn't hear of.
 func (p *listPoll) pace(isHolder bool) listing.Pace {
-	set, rank := p.set.Load(), -1
-	if !isHolder {
+	set, share := p.set.Load(), listing.LaterShare
+	switch {
+	case !isHolder:
 		view, holder := p.viewAndHolder()
-		rank = listing.Rank(view, holder, p.self)
+		share = listing.ShareOf(listing.Rank(view, holder, p.self))
+	case p.holdsLease(p.myTerm.Load()):
+		share = listing.HolderShare
 	}
-	return listing.Pace{Period: set.Tuning.Poll.Std(), Rate: set.Platform.CloudApi.RatePerS * listing.ShareOf(rank)}
+	return listing.Pace{Period: set.Tuning.Poll.Std(), Rate: set.Platform.CloudApi.RatePerS * share}
 }
 
 // took counts failures in a row; after some this node is unfit for a while.
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -44,7 +44,7 @@
 func (l *listWatch) isOverdue(view membership.View, holder, self string, isInContact bool, now timetable.Steady) bool {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	return (isInContact || l.watch.Silence(now) < aloneLongest) && l.watch.IsOverdue(view, holder, self, now)
+	return (isInContact || l.watch.Silence(self, now) < aloneLongest) && l.watch.IsOverdue(view, holder, self, now)
 }
 
 // viewAndHolder are the members and the holder of the duty, as this node's feed tells.
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -48,7 +48,7 @@
 			self: self, clock: hand, hub: feed.NewHub(), note: func(string, string, ...any) {},
 			lines:      map[string]*rpc.Line{},
 			memberLoop: timetable.NewLoop[func()](8), watch: membership.NewWatch(hand, silentAfter), began: hand.Steady(),
-			listWatch: newListWatch(hand.Steady()),
+			listWatch: newListWatch(hand.Steady()), lease: newDutyLease(testSpan),
 		}
 		b.set.Store(&settings.Settings{Tuning: settings.Tuning{SilentAfter: timetable.Span(silentAfter)}})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -120,16 +120,36 @@
 		Expect(leaving()).To(Equal(map[string]bool{"a": true}))
 		Expect(told).To(Equal([]string{"a"}))
 		b.hub.Publish(feed.News{Fleet: fleet(2, self, false)})
+		hand.Sleep(time.Second)
 		poll.turn(context.Background())
 		Expect(told).To(Equal([]string{"a"}), "the fleet says so by now")
 	})
 
+	It("comes as often as the node's share of the rate allows, as what the node is now", func() {
+		b.coordinator = newCoordinator(b)
+		set := *b.set.Load()
+		set.Platform.CloudApi.RatePerS = 50
+		b.set.Store(&set)
+		poll := &listPoll{node: b}
+		poll.last.began, poll.last.ended, poll.last.calls = hand.Steady(), hand.Steady(), 30
+		view, _ := b.viewAndHolder()
+		first := map[int]time.Duration{0: 1500 * time.Millisecond, 1: 3 * time.Second}
+		Expect(poll.rest(false)).To(BeNumerically("~", first[listing.Rank(view, holder, self)], time.Millisecond))
+		// A holder that has lost its lease may have a successor that reads.
+		Expect(poll.rest(true)).To(BeNumerically("~", 3*time.Second, time.Millisecond))
+		b.myTerm.Store(2)
+		round := b.lease.start(2, view, hand.Steady())
+		b.lease.acknowledge(round, self)
+		Expect(b.lease.acknowledge(round, other)).To(BeTrue())
+		Expect(poll.rest(true)).To(BeNumerically("~", time.Second, time.Millisecond))
+	})
+
 	It("is told of to the other members only when it was complete", func() {
-		var isHanging atomic.Bool
-		isHanging.Store(true)
-		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if isHanging.Load() {
-				<-r.Context().Done()
+		var isFailing atomic.Bool
+		isFailing.Store(true)
+		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if isFailing.Load() {
+				w.WriteHeader(http.StatusTooManyRequests)
 				return
 			}
 			_, _ = io.WriteString(w, `{"Instances":[{"InstanceId":"a","State":"ready"}],"NextToken":null}`)
@@ -142,7 +162,8 @@
 		poll.turn(context.Background())
 		age, _ := b.listWatch.age(hand.Steady())
 		Expect(age).To(BeNumerically(">=", time.Minute))
-		isHanging.Store(false)
+		isFailing.Store(false)
+		hand.Sleep(time.Second)
 		poll.turn(context.Background())
 		age, _ = b.listWatch.age(hand.Steady())
 		Expect(age).To(BeNumerically("<", time.Second))
