Readings of the list: calls are spread so that no second sees too many; who reads alone takes the holder's share

Three calls for a page that was refused no longer fall into one second. A member that reads where nobody else does takes 0.6 of the rate and no longer 0.4 or 0.2; one beside a holder whose readings are older than 2 s takes 0.4. What a member tells of its next page goes by who reads alone, not by its own longer rest.

--- a/internal/control/list_reader.go
+++ b/internal/control/list_reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/control/listing"
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/timetable"
 )
@@ -61,6 +62,10 @@
 	// rest are the zones of a reading to go on with, and restBegan when it began.
 	rest      []*zoneReading
 	restBegan timetable.Steady
+	// perSecond is how many calls a second may see, as window spreads them; 0 if there is
+	// no bound.
+	perSecond float64
+	window    listing.Window
 	// usual is how long a call usually takes, smoothed.
 	usual time.Duration
 	// isUnzoned: the platform doesn't know the zones by their names.
@@ -96,8 +101,13 @@
 	answers, active := make(chan zoneAnswer), 0
 	ask := func(zone *zoneReading) {
 		active++
-		usual := r.usual
-		go func() { answers <- zoneAnswer{zone, r.caller.page(ctx, zone.pageOf, usual)} }()
+		wait, usual := r.window.Reserve(r.clock.Steady(), r.perSecond), r.usual
+		go func() {
+			if wait > 0 {
+				r.clock.Sleep(wait)
+			}
+			answers <- zoneAnswer{zone, r.caller.page(ctx, zone.pageOf, usual)}
+		}()
 	}
 	for _, zone := range under {
 		if !zone.isWhole {
--- a/internal/control/listing/pace.go
+++ b/internal/control/listing/pace.go
@@ -8,11 +8,14 @@
 
 const (
 	// HolderShare is the part of the platform's rate that the holder of the duty takes
-	// at most; firstShare, what is left, is for the first that reads in its stead, beside
-	// a holder that is only slow, and LaterShare for all others that read.
+	// at most, or who reads where nobody else does. What is left, besideShare, is for one
+	// that reads beside a holder, and AloneShare for one that may have others beside it
+	// of which it does not hear.
 	HolderShare = 0.6
-	firstShare  = 0.4
-	LaterShare  = 0.2
+	besideShare = 0.4
+	AloneShare  = 0.2
+	// burst is how many times the calls that its rate allows a second may see.
+	burst = 4.0 / 3
 	// leastRest is the least time between two readings.
 	leastRest = 50 * time.Millisecond
 	// PageDue is within which span of a call or of another page a page is due. A call
@@ -22,22 +25,6 @@
 	ProgressPeriod = 150 * time.Millisecond
 )
 
-// ShareOf is the part of the platform's rate that a member of a rank may take.
-//
-// Example:
-//
-//	rate := settings.RatePerS * listing.ShareOf(listing.Rank(view, holder, self))
-func ShareOf(rank int) float64 {
-	switch {
-	case rank < 0:
-		return HolderShare
-	case rank == 0:
-		return firstShare
-	default:
-		return LaterShare
-	}
-}
-
 // Pace is how often a member reads the list.
 type Pace struct {
 	// Period is how far the beginnings of two readings lie apart at least.
@@ -46,6 +33,14 @@
 	Rate float64
 }
 
+// Burst is how many calls a second may see: more than the rate for a moment, so that a
+// reading need not wait for the end of the second in which the last one was made.
+//
+// Example:
+//
+//	wait := window.Reserve(clock.Steady(), pace.Burst())
+func (p Pace) Burst() float64 { return p.Rate * burst }
+
 // Next is when the reading after one of so many calls begins. The calls of a reading
 // come in a row, so the rate is kept from one beginning to the next.
 //
--- a/internal/control/listing/watch.go
+++ b/internal/control/listing/watch.go
@@ -15,7 +15,7 @@
 	step   = 300 * time.Millisecond
 	// oldest is how old the newest whole reading may be: pages may come in time and
 	// the whole still take too long, where the reader's processor is short.
-	oldest = 1500 * time.Millisecond
+	oldest = 2 * time.Second
 	// grace is how long after a watch began the first page is due.
 	grace = 1500 * time.Millisecond
 )
@@ -99,21 +99,29 @@
 	return slices.Index(membership.Watchers(view.Members, holder, len(view.Members)), member)
 }
 
-// IsOverdue tells whether a member is to read the list now: nobody else has read a page
-// in time, nor has anybody before it in the order begun to; or it is the first in the
-// order, and the newest whole reading is too old.
+// Share is the part of the platform's rate with which a member is to read the list now in
+// the holder's stead, 0 if it is not to. It reads where nobody else has read a page in
+// time, nor has anybody before it in the order begun to: then nobody else uses the rate.
+// The first in the order also reads beside a holder whose pages come in time, while the
+// newest whole reading is too old.
 //
 // Example:
 //
-//	if watch.IsOverdue(view, holder, self, clock.Steady()) { read() }
-func (w *Watch) IsOverdue(view membership.View, holder, self string, now timetable.Steady) bool {
+//	if share := watch.Share(view, holder, self, clock.Steady()); share > 0 { read(share) }
+func (w *Watch) Share(view membership.View, holder, self string, now timetable.Steady) float64 {
 	rank := Rank(view, holder, self)
 	if rank < 0 {
-		return false
+		return 0
 	}
 	patience := timetable.Steady(margin + time.Duration(rank)*step)
-	isOld := rank == 0 && w.isRead && now > w.readAt+timetable.Steady(oldest)+patience
-	return isOld || now > w.dueFromOthers(self)+patience
+	switch {
+	case now > w.dueFromOthers(self)+patience:
+		return HolderShare
+	case rank == 0 && w.isRead && now > w.readAt+timetable.Steady(oldest)+patience:
+		return besideShare
+	default:
+		return 0
+	}
 }
 
 // dueFromOthers is by when somebody other than the member was to read a page.
--- a/internal/control/page_caller.go
+++ b/internal/control/page_caller.go
@@ -42,8 +42,9 @@
 	patienceLeast = 250 * time.Millisecond
 	// usualWeight is how much one call weighs in the usual time.
 	usualWeight = 0.1
-	// retryPause is how long after a page was refused it is asked for again.
-	retryPause = 100 * time.Millisecond
+	// retryPause is how long after a page was refused it is asked for again: three calls
+	// must not all fall into one second that has seen enough.
+	retryPause = 250 * time.Millisecond
 	// idleCalls is how many connections to the platform are kept for the next calls.
 	idleCalls = 8
 )
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -66,7 +66,7 @@
 	if rest := p.rest(isHolder); rest > 0 {
 		return min(rest, readerLook)
 	}
-	p.reader.onPage = p.tookPage
+	p.reader.onPage, p.reader.perSecond = p.tookPage, p.pace(isHolder).Burst()
 	p.last.began = p.clock.Steady()
 	read, err := p.reader.read(ctx)
 	p.last.ended, p.last.calls = p.clock.Steady(), read.calls
@@ -79,12 +79,20 @@
 			p.coordinator.loop.Offer(func() { p.coordinator.list(read.servers) })
 		}
 		p.tellProgress(messages.ListProgress{
-			IsWhole: true, Age: timetable.Span(p.last.ended - read.began), Next: timetable.Span(rest + listing.PageDue),
+			IsWhole: true, Age: timetable.Span(p.last.ended - read.began), Next: timetable.Span(p.next()),
 		})
 	}
 	return min(rest, readerLook)
 }
 
+// next is within which span of a reading's end the next page is due of whoever reads
+// where nobody else does: this node, or another in its place.
+func (p *listPoll) next() time.Duration {
+	set := p.set.Load()
+	alone := listing.Pace{Period: set.Tuning.Poll.Std(), Rate: set.Platform.CloudApi.RatePerS * listing.HolderShare}
+	return time.Duration(alone.Next(p.last.began, p.last.ended, p.last.calls)-p.last.ended) + listing.PageDue
+}
+
 // rest is how long this node waits before it reads again, as what it is now: a node that
 // takes the duty meanwhile need not wait as long as one that has none.
 func (p *listPoll) rest(isHolder bool) time.Duration {
@@ -108,11 +116,10 @@
 // pace is how often this node may read the list. A holder whose lease has ended may have
 // a successor that it doesn't hear of.
 func (p *listPoll) pace(isHolder bool) listing.Pace {
-	set, share := p.set.Load(), listing.LaterShare
+	set, share := p.set.Load(), listing.AloneShare
 	switch {
 	case !isHolder:
-		view, holder := p.viewAndHolder()
-		share = listing.ShareOf(listing.Rank(view, holder, p.self))
+		share = max(share, p.standbyShare())
 	case p.holdsLease(p.myTerm.Load()):
 		share = listing.HolderShare
 	}
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -40,11 +40,20 @@
 	return l.watch.Age(now)
 }
 
-// isOverdue tells whether the node is to read in the holder's stead.
-func (l *listWatch) isOverdue(view membership.View, holder, self string, isInContact bool, now timetable.Steady) bool {
+// share is the part of the platform's rate with which the node is to read in the holder's
+// stead, 0 if it is not to.
+func (l *listWatch) share(view membership.View, holder, self string, isInContact bool, now timetable.Steady) float64 {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	return (isInContact || l.watch.Silence(self, now) < aloneLongest) && l.watch.IsOverdue(view, holder, self, now)
+	share := l.watch.Share(view, holder, self, now)
+	switch {
+	case isInContact:
+		return share
+	case l.watch.Silence(self, now) < aloneLongest:
+		return min(share, listing.AloneShare)
+	default:
+		return 0
+	}
 }
 
 // viewAndHolder are the members and the holder of the duty, as this node's feed tells.
@@ -56,9 +65,13 @@
 // standsBy tells whether this node is to read the list in the stead of the holder of
 // the duty: no page was read when it was due. Whether the holder is gone, has
 // lost the duty, or is alive and cannot read makes no difference.
-func (n *node) standsBy() bool {
+func (n *node) standsBy() bool { return n.standbyShare() > 0 }
+
+// standbyShare is the part of the platform's rate with which this node reads in the
+// holder's stead, 0 if it does not.
+func (n *node) standbyShare() float64 {
 	view, holder := n.viewAndHolder()
-	return n.listWatch.isOverdue(view, holder, n.self, n.isInContact(), n.clock.Steady())
+	return n.listWatch.share(view, holder, n.self, n.isInContact(), n.clock.Steady())
 }
 
 // tellLeaving tells every member which servers the list shows leaving that nobody has
--- a/internal/emulator/departure/member.go
+++ b/internal/emulator/departure/member.go
@@ -20,6 +20,8 @@
 	life  int
 	board *feed.Board
 	watch *listing.Watch
+	// window spreads the calls.
+	window listing.Window
 	// isHolder, term, last and listed are the duty's: what was published last, and the
 	// list as read last.
 	isHolder bool
@@ -29,6 +31,9 @@
 	reading  *reading
 	rest     *reading
 	failures int
+	// began, ended and calls are of the last reading.
+	began, ended virtual.Time
+	calls        int
 	// Until when what goes wrong lasts.
 	deadUntil, frozenUntil, diskUntil, platformUntil, coordinatorUntil, unfitUntil, busyUntil virtual.Time
 	// toldAt is when the member last told that it reads the list.
--- a/internal/emulator/departure/options.go
+++ b/internal/emulator/departure/options.go
@@ -62,8 +62,9 @@
 	IsFreshList bool
 	// IsResumed: a reading whose page failed goes on from there.
 	IsResumed bool
-	// IsByZone: the zones of the list are read side by side.
-	IsByZone bool
+	// IsByZone: the zones of the list are read side by side; IsSpread: their calls are
+	// spread so that no second sees too many.
+	IsByZone, IsSpread bool
 }
 
 // Present are the rules as they are in force.
@@ -72,7 +73,7 @@
 //
 //	result := departure.Run(departure.Options{Guards: departure.Present()})
 func Present() Guards {
-	return Guards{IsFinal: true, IsByPage: true, IsByReadings: true, IsFreshList: true, IsResumed: true, IsByZone: true}
+	return Guards{IsFinal: true, IsByPage: true, IsByReadings: true, IsFreshList: true, IsResumed: true, IsByZone: true, IsSpread: true}
 }
 
 // Options choose one run.
@@ -116,7 +117,7 @@
 	// A page gets another call beside one that is late, and fails in the end.
 	patience   = 250 * time.Millisecond
 	pageSpan   = 800 * time.Millisecond
-	retryPause = 100 * time.Millisecond
+	retryPause = 250 * time.Millisecond
 	pageTries  = 3
 	resumeSpan = 2 * time.Second
 	// followed is how many members a proxy follows.
--- a/internal/emulator/departure/reader.go
+++ b/internal/emulator/departure/reader.go
@@ -56,6 +56,10 @@
 		m.turnLater(readerLook)
 		return
 	}
+	if rest := m.restOf(!m.isHolder); rest > 0 {
+		m.turnLater(min(rest, readerLook))
+		return
+	}
 	now := m.world.Now
 	m.reading = &reading{began: now, first: now, isHolder: m.isHolder, lanes: m.world.newLanes()}
 	if old := m.rest; old != nil && m.world.options.Guards.IsResumed && now-old.first < resumeSpan {
@@ -75,7 +79,7 @@
 	w := m.world
 	view, holder := w.view(), m.board.Fleet.Holder
 	if w.options.Guards.IsByReadings {
-		return m.watch.IsOverdue(view, holder, m.name, w.steady())
+		return m.watch.Share(view, holder, m.name, w.steady()) > 0
 	}
 	rank := listing.Rank(view, holder, m.name)
 	if rank < 0 || rank >= watchers {
@@ -135,8 +139,25 @@
 		}
 		m.later(patience, ask)
 	}
-	ask()
-	m.later(pageSpan, fail)
+	begin := func() {
+		began = m.world.Now
+		ask()
+		m.later(pageSpan, fail)
+	}
+	if !m.world.options.Guards.IsSpread {
+		begin()
+		return
+	}
+	m.later(m.window.Reserve(m.world.steady(), listing.Pace{Rate: m.rate(!r.isHolder)}.Burst()), begin)
+}
+
+// rate is how many calls a second the member may make.
+func (m *member) rate(isStandby bool) float64 {
+	share := listing.HolderShare
+	if isStandby {
+		share = max(listing.AloneShare, m.watch.Share(m.world.view(), m.board.Fleet.Holder, m.name, m.world.steady()))
+	}
+	return m.world.options.Size.Rate * share
 }
 
 func (m *member) gotPage(r *reading, of *lane, page []feed.Server) {
@@ -178,7 +199,13 @@
 	if m.failures++; m.failures == failedPolls && r.isHolder {
 		m.failures, m.unfitUntil = 0, max(m.unfitUntil, m.world.Now+unfitSpan)
 	}
-	m.turnLater(m.dueIn(r))
+	m.endReading(r)
+	m.turnLater(readerLook)
+}
+
+// endReading notes a reading that has ended, for the rest after it.
+func (m *member) endReading(r *reading) {
+	m.began, m.ended, m.calls = r.began, m.world.Now, r.calls
 }
 
 func (m *member) finishReading(r *reading) {
@@ -186,7 +213,11 @@
 	m.reading, m.failures = nil, 0
 	w.result.readings.record(w.Now - r.first)
 	servers := feed.Settle(nil, r.servers)
-	wait := m.dueIn(r)
+	m.endReading(r)
+	next := m.next() + listing.PageDue
+	if !w.options.Guards.IsByReadings {
+		next = m.restOf(!r.isHolder)
+	}
 	if r.isHolder {
 		m.listed = servers
 		m.later(max(w.between(2*time.Millisecond, 20*time.Millisecond), m.coordinatorUntil-w.Now), m.publish)
@@ -195,13 +226,13 @@
 	case w.options.Guards.IsByPage:
 	case r.isHolder:
 		m.later(publishPatience, func() { m.tellLeaving(servers) })
-		wait += publishPatience
+		m.ended += publishPatience
 	default:
 		m.tellLeaving(servers)
 	}
-	m.tellProgress(wait + listing.PageDue)
+	m.tellProgress(next)
 	m.tellRead(r.first)
-	m.turnLater(wait)
+	m.turnLater(readerLook)
 }
 
 // tellRead tells every member that this one has read the whole list.
@@ -226,19 +257,23 @@
 	}
 }
 
-// dueIn is after how long the member reads again.
-func (m *member) dueIn(r *reading) time.Duration {
+// restOf is how long the member waits before it reads again, as what it is now.
+func (m *member) restOf(isStandby bool) time.Duration {
 	w := m.world
-	rank := listing.Rank(w.view(), m.board.Fleet.Holder, m.name)
-	if r.isHolder {
-		rank = -1
+	if m.calls == 0 {
+		return 0
 	}
-	began, ended := steadyOf(r.began), w.steady()
 	if !w.options.Guards.IsByReadings {
 		// Once the rest was counted from the end of a reading.
-		rest := time.Duration(float64(r.calls) / (oldShare * w.options.Size.Rate) * float64(time.Second))
-		return max(r.began+pollPeriod-w.Now, rest)
+		rest := time.Duration(float64(m.calls) / (oldShare * w.options.Size.Rate) * float64(time.Second))
+		return max(m.began+pollPeriod, m.ended+rest) - w.Now
 	}
-	pace := listing.Pace{Period: pollPeriod, Rate: w.options.Size.Rate * listing.ShareOf(rank)}
-	return time.Duration(pace.Next(began, ended, r.calls) - ended)
+	pace := listing.Pace{Period: pollPeriod, Rate: m.rate(isStandby)}
+	return time.Duration(pace.Next(steadyOf(m.began), steadyOf(m.ended), m.calls) - w.steady())
+}
+
+// next is how long after a reading the next is due of whoever reads alone.
+func (m *member) next() time.Duration {
+	pace := listing.Pace{Period: pollPeriod, Rate: m.world.options.Size.Rate * listing.HolderShare}
+	return time.Duration(pace.Next(steadyOf(m.began), steadyOf(m.ended), m.calls) - steadyOf(m.ended))
 }
