--- a/internal/control/listing/pace.go
+++ b/internal/control/listing/pace.go
@@ -6,6 +6,7 @@
 	"ploverhitch/internal/timetable"
 )
 
+// The shares of the platform's rate and the spans in which readings go on.
 const (
 	// HolderShare is the part of the platform's rate that the holder of the duty takes
 	// at most, or who reads where nobody else does. What is left, besideShare, is for one
--- a/internal/emulator/departure/reader.go
+++ b/internal/emulator/departure/reader.go
@@ -151,15 +151,6 @@
 	m.later(m.window.Reserve(m.world.steady(), listing.Pace{Rate: m.rate(!r.isHolder)}.Burst()), begin)
 }
 
-// rate is how many calls a second the member may make.
-func (m *member) rate(isStandby bool) float64 {
-	share := listing.HolderShare
-	if isStandby {
-		share = max(listing.AloneShare, m.watch.Share(m.world.view(), m.board.Fleet.Holder, m.name, m.world.steady()))
-	}
-	return m.world.options.Size.Rate * share
-}
-
 func (m *member) gotPage(r *reading, of *lane, page []feed.Server) {
 	if m.reading != r {
 		return
@@ -256,24 +247,3 @@
 		}
 	}
 }
-
-// restOf is how long the member waits before it reads again, as what it is now.
-func (m *member) restOf(isStandby bool) time.Duration {
-	w := m.world
-	if m.calls == 0 {
-		return 0
-	}
-	if !w.options.Guards.IsByReadings {
-		// Once the rest was counted from the end of a reading.
-		rest := time.Duration(float64(m.calls) / (oldShare * w.options.Size.Rate) * float64(time.Second))
-		return max(m.began+pollPeriod, m.ended+rest) - w.Now
-	}
-	pace := listing.Pace{Period: pollPeriod, Rate: m.rate(isStandby)}
-	return time.Duration(pace.Next(steadyOf(m.began), steadyOf(m.ended), m.calls) - w.steady())
-}
-
-// next is how long after a reading the next is due of whoever reads alone.
-func (m *member) next() time.Duration {
-	pace := listing.Pace{Period: pollPeriod, Rate: m.world.options.Size.Rate * listing.HolderShare}
-	return time.Duration(pace.Next(steadyOf(m.began), steadyOf(m.ended), m.calls) - steadyOf(m.ended))
-}
