--- a/internal/control/listing/watch.go
+++ b/internal/control/listing/watch.go
@@ -47,7 +47,8 @@
 //
 //	watch.Hear("10.0.0.2:7200", 800*time.Millisecond, clock.Steady())
 func (w *Watch) Hear(member string, next time.Duration, now timetable.Steady) {
-	w.due[member], w.heard[member] = now+timetable.Steady(next), now
+	// What was told earlier may come later, over a line that was made anew.
+	w.due[member], w.heard[member] = max(w.due[member], now+timetable.Steady(next)), now
 }
 
 // Read notes a whole reading, which began so long ago.
--- a/internal/control/listing/watch_test.go
+++ b/internal/control/listing/watch_test.go
@@ -58,6 +58,14 @@
 		Expect(overdue(watch, after(2100*time.Millisecond))).To(BeEmpty())
 	})
 
+	It("goes by the latest time that a member has told, whatever the order in which that comes", func() {
+		watch := listing.NewWatch(start)
+		watch.Hear(holder, time.Second, start)
+		watch.Hear(holder, 300*time.Millisecond, start)
+		Expect(overdue(watch, after(900*time.Millisecond))).To(BeEmpty())
+		Expect(overdue(watch, after(1200*time.Millisecond))).To(ConsistOf(0))
+	})
+
 	It("lets others read beside a holder whose pages come in time, but whose readings take too long", func() {
 		watch := listing.NewWatch(start)
 		watch.Read(200*time.Millisecond, start)
