Clean-up after a second reading: one pace for a share, leaving noted once a fleet, the emulator's readings as the other spans

No behaviour changes: the pace of a reader was written twice in platform.go, a board made a list for each leaving server at each fleet, known or not, and the result had an accessor for one of its spans.

--- a/cmd/measure/departures.go
+++ b/cmd/measure/departures.go
@@ -50,7 +50,7 @@
 		}
 		all := c.play(scenario)
 		left := 1 - all.SettledLastByte.Most().Seconds()/c.drain.Seconds()
-		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.0f%%\t%d\t%.1f\n", scenario, quantiles(all.Readings()), quantiles(all.Read),
+		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.0f%%\t%d\t%.1f\n", scenario, quantiles(all.Readings), quantiles(all.Read),
 			quantiles(all.Told), quantiles(all.Known), quantiles(all.LastByte), quantiles(all.SettledLastByte), 100*left, all.Regressions, float64(all.Calls)/float64(c.seeds)/departure.RunSpan.Seconds())
 	}
 	return nil
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -88,8 +88,7 @@
 // next is within which span of a reading's end the next page is due of whoever reads
 // where nobody else does: this node, or another in its place.
 func (p *listPoll) next() time.Duration {
-	set := p.set.Load()
-	alone := listing.Pace{Period: set.Tuning.Poll.Std(), Rate: set.Platform.CloudApi.RatePerS * listing.HolderShare}
+	alone := p.paceOf(listing.HolderShare)
 	return time.Duration(alone.Next(p.last.began, p.last.ended, p.last.calls)-p.last.ended) + listing.PageDue
 }
 
@@ -116,13 +115,19 @@
 // pace is how often this node may read the list. A holder whose lease has ended may have
 // a successor that it doesn't hear of.
 func (p *listPoll) pace(isHolder bool) listing.Pace {
-	set, share := p.set.Load(), listing.AloneShare
+	share := listing.AloneShare
 	switch {
 	case !isHolder:
 		share = max(share, p.standbyShare())
 	case p.holdsLease(p.myTerm.Load()):
 		share = listing.HolderShare
 	}
+	return p.paceOf(share)
+}
+
+// paceOf is the pace of a reader with a share of the platform's rate.
+func (p *listPoll) paceOf(share float64) listing.Pace {
+	set := p.set.Load()
 	return listing.Pace{Period: set.Tuning.Poll.Std(), Rate: set.Platform.CloudApi.RatePerS * share}
 }
 
--- a/internal/emulator/departure/reader.go
+++ b/internal/emulator/departure/reader.go
@@ -202,7 +202,7 @@
 func (m *member) finishReading(r *reading) {
 	w := m.world
 	m.reading, m.failures = nil, 0
-	w.result.readings.record(w.Now - r.first)
+	w.result.Readings.record(w.Now - r.first)
 	servers := feed.Settle(nil, r.servers)
 	m.endReading(r)
 	next := m.next() + listing.PageDue
--- a/internal/emulator/departure/result.go
+++ b/internal/emulator/departure/result.go
@@ -55,8 +55,8 @@
 // Result is what a run came to. All spans but the first begin when the list shows a
 // server leaving.
 type Result struct {
-	// readings are how long readings took.
-	readings Spans
+	// Readings are how long whole readings of the list took.
+	Readings Spans
 	// Read ends when a page shows the server leaving, Told when the first member tells
 	// its followers.
 	Read, Told Spans
@@ -76,7 +76,7 @@
 //
 //	all := departure.NewResult()
 func NewResult() Result {
-	return Result{readings: newSpans(), Read: newSpans(), Told: newSpans(), Known: newSpans(), LastByte: newSpans(), SettledLastByte: newSpans()}
+	return Result{Readings: newSpans(), Read: newSpans(), Told: newSpans(), Known: newSpans(), LastByte: newSpans(), SettledLastByte: newSpans()}
 }
 
 // Merge adds another run's result.
@@ -85,7 +85,7 @@
 //
 //	all.Merge(departure.Run(options))
 func (r *Result) Merge(other Result) {
-	r.readings.Merge(other.readings)
+	r.Readings.Merge(other.Readings)
 	r.Read.Merge(other.Read)
 	r.Told.Merge(other.Told)
 	r.Known.Merge(other.Known)
@@ -95,13 +95,6 @@
 	r.Calls += other.Calls
 }
 
-// Readings are how long whole readings of the list took.
-//
-// Example:
-//
-//	middle := result.Readings().Quantile(50)
-func (r Result) Readings() Spans { return r.readings }
-
 // begin follows a server from the moment when the list shows it leaving.
 func (w *world) begin(leaver *departed) { w.leaving[leaver.id] = leaver }
 
--- a/internal/feed/leaving.go
+++ b/internal/feed/leaving.go
@@ -86,11 +86,13 @@
 // noteLeaving remembers the servers that the fleet shows leaving. Whoever has the fleet
 // knows it too, so it is no news.
 func (b *Board) noteLeaving(servers []Server) {
+	var leaving []string
 	for _, server := range servers {
-		if !server.IsReady {
-			b.mergeLeaving([]string{server.ID})
+		if !server.IsReady && !b.Leaving[server.ID] {
+			leaving = append(leaving, server.ID)
 		}
 	}
+	b.mergeLeaving(leaving)
 }
 
 // forgetOldest keeps what is remembered within its bound.
