--- a/review/standin/late_order.go
+++ b/review/standin/late_order.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -39,6 +40,9 @@
 		return false, err
 	}
 	leader := c.leader()
+	if os.Getenv("VARIANT") == "http" {
+		leader = (leader + 1) % 3 // a follower freezes
+	}
 	if leader < 0 {
 		return false, fmt.Errorf("no leader is known")
 	}
@@ -50,6 +54,13 @@
 		_ = c.cores[leader].procs["control"].Process.Signal(syscall.SIGSTOP)
 	}
 	time.Sleep(100 * time.Millisecond)
+	if os.Getenv("VARIANT") == "http" {
+		// The call goes to the frozen node itself first, and after a second of silence to another.
+		client := http.Client{Timeout: time.Second}
+		_, err := client.Post("http://"+c.cores[leader].control+"/v1/config/modify", "application/json", strings.NewReader(samePlace))
+		c.rec.logf("operator: r-second r8 at %s: %v", c.cores[leader].name, err)
+		time.Sleep(200 * time.Millisecond)
+	}
 	c.rec.logf("operator: sends r-second r8, which has the host and prefix of r-lesson")
 	if status := c.modify(other, samePlace); status != 400 {
 		return false, fmt.Errorf("the invalid order was answered with %d, not with 400", status)
