--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -149,11 +149,15 @@
 	return os.WriteFile(m.settings, []byte("platform: "+string(text)+"\n"+lines+more), 0o644)
 }
 
+func (c *cluster) writeCore(n int, m *machine, first bool) error {
+	return c.write(m, c.coreIP(n), "core", map[string]any{"ControlPlane": m.control}, filepath.Join(c.dir, fmt.Sprint("disk-", n)), first, "")
+}
+
 // startAll starts three core machines and the edge machines, and sends the configuration.
 func (c *cluster) startAll(edges int, configuration string) error {
 	for n := 1; n <= 3; n++ {
 		m := &machine{name: fmt.Sprint("core-", n), roles: []string{"control"}, procs: map[string]*exec.Cmd{}, control: fmt.Sprintf("%s:%d", c.coreIP(n), c.port+20)}
-		if err := c.write(m, c.coreIP(n), "core", map[string]any{"ControlPlane": m.control}, filepath.Join(c.dir, "disk-"+fmt.Sprint(n)), true, ""); err != nil {
+		if err := c.writeCore(n, m, true); err != nil {
 			return err
 		}
 		c.cores = append(c.cores, m)
@@ -187,6 +191,12 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	// Bootstrap is true only when the whole system starts for the first time.
+	for n, m := range c.cores {
+		if err := c.writeCore(n+1, m, false); err != nil {
+			return err
+		}
+	}
 	// All machines are in touch once the core has been settled for Contact.
 	time.Sleep(3500 * time.Millisecond)
 	return nil
