--- a/review/standin/large_bodies.go
+++ b/review/standin/large_bodies.go
@@ -79,6 +79,10 @@
 		watchers.Go(func() { c.limitMemory(edge, &kills[number], &peaks[number], stop) })
 	}
 	body := strings.Repeat("x", bodyBytes)
+	// Another client's keyed operation is at work on edge-1 when the bodies arrive.
+	const otherKey, otherTarget = "fee-1", "/fee/enrol?work=2500"
+	clients.Go(func() { c.send(c.edges[0], "POST", otherTarget, otherKey, "seat=7", 6*time.Second) })
+	time.Sleep(200 * time.Millisecond)
 	for round := range roundCount {
 		for number, edge := range c.edges {
 			for upload := range uploadCount {
@@ -99,6 +103,11 @@
 			}
 		}
 	}
+	// The other client tries its key again. This is recorded, and not part of the check.
+	for range 3 {
+		c.send(c.edges[1], "POST", otherTarget, otherKey, "seat=7", time.Second)
+		time.Sleep(time.Second)
+	}
 	close(stop)
 	watchers.Wait()
 	c.rec.logf("peak memory of the proxies: %v MB, kills: %v", peaks, kills)
