--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,7 +20,8 @@
 // server is a stand-in server as the pages describe one: it works on as many requests at
 // the same time as its capacity says, queues a few more, and answers 503 with
 // Ploverhitch-Not-Executed when it is full or when the handed deadline has passed in its
-// queue. How long a request takes stands in its query as work, in milliseconds.
+// queue. How long a request takes stands in its query as work, in milliseconds, and how long
+// its answer is as size, in bytes.
 type server struct {
 	id, service string
 	rec         *recorder
@@ -137,4 +139,6 @@
 	}
 	w.Header().Set("Ploverhitch-Server-Seal", fmt.Sprintf("%s.%d", s.id, number))
 	_, _ = fmt.Fprintf(w, "%s ran %s as number %d (%d bytes)", s.id, r.RequestURI, number, len(body))
+	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	_, _ = io.WriteString(w, strings.Repeat(".", size))
 }
