--- a/review/standin2/stall.go
+++ b/review/standin2/stall.go
@@ -20,17 +20,21 @@
 	routeTimeout = 1200 * time.Millisecond
 	// slots is the Capacity of a server.
 	slots = 4
+	// longBytes is more than the buffers of the connections between server and client hold.
+	longBytes = 48 << 20
 )
 
+var longBody = strings.Repeat("x", longBytes)
+
 // stalledReaders: some clients of a download begin to read the answer and then stop, with
 // their connections open. Their deadlines and the route's Timeout pass.
 func stalledReaders(rec *record, trouble bool) (verdict string) {
-	const clients = 16
+	const clients = 32
 	t := newTown(rec)
 	defer t.close()
 	var atWork, overdue atomic.Int64
 	var list []listed
-	for i := range 3 {
+	for i := range 4 {
 		s := newServer(rec, fmt.Sprint("i-les", i), "lessons")
 		s.act = slottedServer(&atWork, &overdue)
 		list = append(list, entry(s, "lessons", "a"))
@@ -42,7 +46,7 @@
 	var wait sync.WaitGroup
 	for i := range clients {
 		wait.Go(func() { download(rec, t.front(1), fmt.Sprint("long-", i), trouble) })
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(150 * time.Millisecond)
 	}
 	time.Sleep(routeTimeout + 500*time.Millisecond)
 	served, others := 0, 20
@@ -87,10 +91,13 @@
 		s.ran(r, 0)
 		body := "short"
 		if strings.HasPrefix(r.RequestURI, "/long/") {
-			body = strings.Repeat("x", 40<<20)
+			body = longBody
 		}
 		began := time.Now()
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\nPloverhitch-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\nPloverhitch-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n", id, id, len(body))
+		if err == nil {
+			_, err = io.WriteString(conn, body)
+		}
 		took := time.Since(began)
 		s.record.add("server %s: the answer of %s was written after %.1f s: %v", s.id, id, took.Seconds(), err)
 		if took > routeTimeout+500*time.Millisecond {
@@ -107,13 +114,13 @@
 	check(err)
 	defer conn.Close()
 	began := time.Now()
-	fmt.Fprintf(conn, "GET /long/1 HTTP/1.1\r\nHost: jepu9.example\r\nPloverhitch-Attempt-Id: %s\r\nPloverhitch-Deadline-Ms: %d\r\n\r\n", id, routeTimeout.Milliseconds())
+	fmt.Fprintf(conn, "GET /long/%s HTTP/1.1\r\nHost: jepu9.example\r\nPloverhitch-Attempt-Id: %s\r\nPloverhitch-Deadline-Ms: %d\r\n\r\n", id, id, routeTimeout.Milliseconds())
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		rec.add("sent GET /long/1, id %s: %v", id, err)
+		rec.add("sent GET /long/%s, id %s: %v", id, id, err)
 		return
 	}
-	rec.add("sent GET /long/1, id %s: answered %d after %.2f s", id, response.StatusCode, time.Since(began).Seconds())
+	rec.add("sent GET /long/%s, id %s: answered %d after %.2f s", id, id, response.StatusCode, time.Since(began).Seconds())
 	if stalls && response.StatusCode == 200 {
 		time.Sleep(stall)
 	}
