--- a/internal/apply/objects.go
+++ b/internal/apply/objects.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"sigs.k8s.io/yaml"
 
+	"ploverhitch/internal/bounded"
 	"ploverhitch/internal/clock"
 	"ploverhitch/internal/config"
 )
@@ -42,7 +43,7 @@
 		Timeout       clock.Duration   `json:"timeout"`
 		TargetLatency clock.Duration   `json:"targetLatency"`
 		Priority      int              `json:"priority"`
-		MaxAttempts   int              `json:"maxAttempts"`
+		MaxAttempts   bounded.Count    `json:"maxAttempts"`
 		BackendRefs   []struct {
 			Name   string  `json:"name"`
 			Weight float64 `json:"weight"`
--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -1,5 +1,6 @@
-// Package bounded reads data of a length announced by a peer without trusting that
-// length: memory is allocated only as bytes arrive.
+// Package bounded reads what comes from outside without trusting its size: data of an
+// announced length, for which memory is allocated only as bytes arrive, and numbers, which
+// are held at a bound.
 package bounded
 
 import (
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -7,6 +7,7 @@
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
 	"ploverhitch/internal/apierror"
+	"ploverhitch/internal/bounded"
 	"ploverhitch/internal/clock"
 )
 
@@ -37,8 +38,10 @@
 	Priority      int               `json:"Priority"`
 	Service       string            `json:"Service"`
 	TrafficSplit  []WeightedService `json:"TrafficSplit"`
-	MaxAttempts   int               `json:"MaxAttempts"`
-	Revision      Version           `json:"Revision"`
+	// MaxAttempts is the greatest number of servers to which one attempt of a client may be
+	// sent. A number below 1 means 1.
+	MaxAttempts bounded.Count `json:"MaxAttempts"`
+	Revision    Version       `json:"Revision"`
 }
 
 // ServiceSpec is a service as the operator configures it.
@@ -75,7 +78,6 @@
 		validation.Field(&r.PathPrefix, validation.Required, validation.By(validPrefix)),
 		validation.Field(&r.RouteType, validation.Required, validation.In(Safe, Unsafe, Idempotent, Download)),
 		validation.Field(&r.Timeout, validation.Required),
-		validation.Field(&r.MaxAttempts, validation.Min(0)),
 		validation.Field(&r.Service, validation.When(len(r.TrafficSplit) == 0, validation.Required)),
 		validation.Field(&r.Revision, validation.Required),
 	)
--- /dev/null
+++ b/internal/proxy/attempt_limit_test.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"context"
+	"math"
+	"runtime"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/bounded"
+	"ploverhitch/internal/config"
+	"ploverhitch/internal/standin"
+	"ploverhitch/internal/upstream"
+)
+
+var _ = Describe("a route whose operator sets a very large MaxAttempts", func() {
+	var servers []*standin.Server
+	BeforeEach(func() {
+		servers = nil
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			server, err := standin.NewServer(id, "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			servers = append(servers, server)
+		}
+	})
+
+	// Guards against a proxy that reserves memory for MaxAttempts results per request, and ends with
+	// "out of memory" or a panic at the next request of the route (review/5).
+	DescribeTable("is served with the memory of its attempts in flight", func(maxAttempts int) {
+		for _, routeType := range []config.RouteType{config.Safe, config.Unsafe, config.Idempotent, config.Download} {
+			p, req := newTestRequest(routeType, servers...)
+			req.route.MaxAttempts = bounded.Count(maxAttempts)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			response, err := p.forward(context.Background(), req)
+			runtime.ReadMemStats(&after)
+			Expect(err).NotTo(HaveOccurred(), "%s", routeType)
+			Expect(response.(*upstream.Response).Status).To(Equal(200))
+			Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", 1<<20), "bytes allocated on a route of type %s", routeType)
+		}
+	},
+		Entry("1,000,000", 1_000_000),
+		Entry("the largest number", math.MaxInt),
+	)
+
+	It("is tried at each server once, and leaves no attempt behind", func() {
+		for _, server := range servers {
+			server.Next(standin.CutBefore)
+		}
+		p, req := newTestRequest(config.Safe, servers...)
+		req.route.MaxAttempts = math.MaxInt
+		before := runtime.NumGoroutine()
+		_, err := p.forward(context.Background(), req)
+		Expect(err).To(HaveOccurred())
+		for _, server := range servers {
+			count, _ := server.Counts()
+			Expect(count).To(Equal(1), server.ID)
+		}
+		Eventually(runtime.NumGoroutine, 2*time.Second).Should(BeNumerically("<=", before+len(servers)))
+		Expect(p.snapshot.Load().balancer.InFlight("s")).To(BeZero())
+	})
+})
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -11,9 +11,6 @@
 
 	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/balancer"
-	"ploverhitch/internal/bandwidth"
-	"ploverhitch/internal/config"
-	"ploverhitch/internal/outlier"
 	"ploverhitch/internal/upstream"
 )
 
@@ -57,18 +54,13 @@
 	}
 }
 
-// attemptResult is the result of one attempt at one server.
-type attemptResult struct {
-	server   *balancer.Endpoint
-	response *upstream.Response
-	err      error
-}
-
 // forwarder makes the attempts of one client request.
 type forwarder struct {
 	*proxy
-	request     *clientRequest
-	stats       *responseStats
+	request *clientRequest
+	stats   *responseStats
+	// results is unbuffered: the result of every attempt in flight is received, by forward
+	// or by what outlives it (drainAttempts, deadlineExceeded).
 	results     chan attemptResult
 	tried       []*balancer.Endpoint
 	inFlight    int
@@ -90,8 +82,7 @@
 // the route, the retry budget and the result of the first attempt allow it.
 func (p *proxy) forward(ctx context.Context, request any) (any, error) {
 	req := request.(*clientRequest)
-	d := &forwarder{proxy: p, request: req, stats: p.responseStatsOf(req.route.Name), untrack: p.trackOperation(req), siteReservations: &sync.Map{}, clientCtx: deliveryContext(ctx, req)}
-	d.results = make(chan attemptResult, req.route.MaxAttempts+maxUnsentRetries+1)
+	d := &forwarder{proxy: p, request: req, stats: p.responseStatsOf(req.route.Name), untrack: p.trackOperation(req), siteReservations: &sync.Map{}, clientCtx: deliveryContext(ctx, req), results: make(chan attemptResult)}
 	defer d.drainAttempts()
 	if !d.startAttempt() {
 		return nil, apierror.New(apierror.ServersBusy, req.service)
@@ -181,7 +172,7 @@
 // retry starts another attempt if the route, the remaining time and the retry budget
 // allow it.
 func (d *forwarder) retry() bool {
-	if d.sentCount >= d.request.route.MaxAttempts || time.Until(d.request.deadline) < d.stats.mean() {
+	if d.sentCount >= int(d.request.route.MaxAttempts) || time.Until(d.request.deadline) < d.stats.mean() {
 		return false
 	}
 	server := d.chooseServer()
@@ -204,47 +195,3 @@
 	}
 	return server != nil
 }
-
-func (d *forwarder) send(server *balancer.Endpoint) {
-	d.tried = append(d.tried, server)
-	d.inFlight++
-	d.sentCount++
-	server.Begin()
-	d.trackServer(d.request, server.ID)
-	go d.runAttempt(server, d.canaryMark(server))
-}
-
-// runAttempt runs one attempt to its end, even if the client no longer waits.
-func (d *forwarder) runAttempt(server *balancer.Endpoint, mark outlier.Label) {
-	lateWait, bufferLimit := repeatableLateWait, int64(d.settings.Load().Tuning.BufferBytes)
-	if !d.request.route.Repeatable() {
-		lateWait, bufferLimit = unrepeatableLateWait, max(bufferLimit, d.request.snapshot.routingTable.Limits.MaxBodyBytes)
-	}
-	if d.request.route.RouteType == config.Idempotent {
-		bufferLimit = max(bufferLimit, maxRecordedBytes)
-	}
-	streamAfter := int64(0)
-	if d.request.route.RouteType == config.Download && d.inbound.Paced() {
-		// Buffering the whole download first would take a narrow link's time twice.
-		streamAfter = bandwidth.MinBulkBytes
-	}
-	start := d.clock.Monotonic()
-	response, err := server.Pool.Deliver(upstream.Delivery{
-		Request: d.request.Request, ClientContext: d.abortContext(), Deadline: d.request.deadline, ResponseDeadline: d.request.deadline.Add(lateWait), ConnectTimeout: serverConnectTimeout, BufferLimit: bufferLimit, StreamThreshold: streamAfter, Inbound: d.inbound, Outbound: d.outbound,
-		Serving: func() bool { return d.acceptsRequests(server) }, MaySend: d.request.maySend,
-	})
-	now := d.clock.Monotonic()
-	elapsed := time.Duration(now - start)
-	expected := d.stats.mean()
-	if !d.abortedByClient(err) {
-		d.recordOutcome(server, mark, response, err, elapsed, expected)
-		d.countLoad(server, response, err, elapsed)
-	}
-	outcome := d.serverOutcome(response, err)
-	if outcome == balancer.Served {
-		d.stats.record(elapsed, response.Length)
-	}
-	d.releaseSlot(server)
-	server.End(outcome, elapsed, expected, now)
-	d.results <- attemptResult{server, response, err}
-}
