--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,12 +3,8 @@
 package clock
 
 import (
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
-
-	"github.com/juju/errors"
 )
 
 // Instant is a reading of a monotonic clock, counted from an arbitrary start.
@@ -45,42 +41,3 @@
 
 // Sleep advances the clock by d and returns at once.
 func (m *Manual) Sleep(d time.Duration) { atomic.AddInt64((*int64)(&m.Now), int64(d)) }
-
-// Duration is a time.Duration written as text: a number and a unit, ms, s, m or h.
-type Duration time.Duration
-
-// ParseDuration reads a duration such as "1.5s".
-func ParseDuration(text string) (Duration, error) {
-	units := []struct {
-		suffix string
-		unit   time.Duration
-	}{{"ms", time.Millisecond}, {"s", time.Second}, {"m", time.Minute}, {"h", time.Hour}}
-	for _, candidate := range units {
-		if number, ok := strings.CutSuffix(text, candidate.suffix); ok {
-			value, err := strconv.ParseFloat(number, 64)
-			if err != nil || value < 0 || value > 1e12 {
-				break
-			}
-			return Duration(value * float64(candidate.unit)), nil
-		}
-	}
-	return 0, errors.NotValidf("duration %q (want a number and ms, s, m or h)", text)
-}
-
-// Std returns the standard library's type.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
-
-// UnmarshalText reads the duration from JSON or YAML.
-func (d *Duration) UnmarshalText(text []byte) error {
-	duration, err := ParseDuration(string(text))
-	if err == nil {
-		*d = duration
-	}
-	return err
-}
-
-// MarshalText writes the duration in milliseconds, such as "250ms".
-func (d Duration) MarshalText() ([]byte, error) {
-	ms := float64(d) / float64(time.Millisecond)
-	return []byte(strconv.FormatFloat(ms, 'f', -1, 64) + "ms"), nil
-}
--- a/internal/standin/numbers_test.go
+++ b/internal/standin/numbers_test.go
@@ -12,39 +12,45 @@
 	"ploverhitch/internal/proxy"
 )
 
-// unusualAttempts are values of MaxAttempts that no rule of the protocol calls invalid.
-var unusualAttempts = []string{"2147483647", "9223372036854775807", "1e30", "3.0", "0", "-1"}
+// unusualFields are fields of a route with values that no rule of the protocol calls invalid.
+var unusualFields = []string{
+	`"MaxAttempts":2147483647`, `"MaxAttempts":9223372036854775807`, `"MaxAttempts":1e30`, `"MaxAttempts":3.0`, `"MaxAttempts":0`, `"MaxAttempts":-1`,
+	`"Timeout":"9999999999s"`, `"Timeout":"1e300ms"`, `"TargetLatency":"9999999999s"`, `"Timeout":"9999999999s","RouteType":"idempotent"`,
+	`"TargetLatency":"9999999999s","RouteType":"idempotent"`, `"Timeout":"9999999999s","RouteType":"download"`,
+}
 
 var _ = Describe("numbers of the configuration", Ordered, func() {
 	var s *system
 	BeforeAll(func() { s = startSystem(21400, 1) })
 
-	route := func(number int, attempts string) string {
-		return fmt.Sprintf(`{"Name":"many-%d","PathPrefix":"/many/%d/","RouteType":"safe","Timeout":"2s","TargetLatency":"1s","MaxAttempts":%s,"Service":"lessons","Revision":"r2"}`, number, number, attempts)
+	// route is a route with the given fields; the last of two equal fields counts.
+	route := func(number int, fields string) string {
+		return fmt.Sprintf(`{"Name":"many-%d","PathPrefix":"/many/%d/","RouteType":"safe","Timeout":"2s","TargetLatency":"1s","MaxAttempts":2,"Service":"lessons","Revision":"r2",%s}`, number, number, fields)
 	}
 	// expectServed waits until the edge serves every one of the routes.
 	expectServed := func(edge int) {
 		GinkgoHelper()
-		for number, attempts := range unusualAttempts {
+		for number, fields := range unusualFields {
 			Eventually(func() int {
-				status, _, _ := s.send(edge, http.MethodGet, fmt.Sprintf("/many/%d/a", number), "", nil)
+				headers := map[string]string{"Ploverhitch-Operation-Key": fmt.Sprintf("key-%d-%d", edge, number)}
+				status, _, _ := s.send(edge, http.MethodGet, fmt.Sprintf("/many/%d/a", number), "", headers)
 				return status
-			}, 5*time.Second).Should(Equal(200), "MaxAttempts %s at edge %d", attempts, edge)
+			}, 5*time.Second).Should(Equal(200), "%s at edge %d", fields, edge)
 		}
 	}
 
-	// Guards against a MaxAttempts that is refused, or that ends the proxy at the next request of its route (review/5).
+	// Guards against numbers that are refused, or that end the proxy or its requests at the next request of the route (review/5).
 	It("are served whatever their size, and read back as they were sent", func() {
-		for number, attempts := range unusualAttempts {
-			status, err := s.town.Modify(1, `{"Upsert":{"VirtualHosts":[{"Hostname":"h.example","PathTable":[`+route(number, attempts)+`]}]}}`)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(status).To(Equal(200), "MaxAttempts %s", attempts)
+		limits := `{"Upsert":{"Limits":{"MaxHeaderBytes":2000,"MaxBodyBytes":1000,"HeaderTimeout":"9999999999s","IdleTimeout":"9999999999s","Revision":"r2"}}}`
+		Expect(s.town.Modify(1, limits)).To(Equal(200))
+		for number, fields := range unusualFields {
+			Expect(s.town.Modify(1, `{"Upsert":{"VirtualHosts":[{"Hostname":"h.example","PathTable":[`+route(number, fields)+`]}]}}`)).To(Equal(200), fields)
 		}
 		expectServed(0)
 		_, text, err := s.town.Read(2, "/v1/config/read")
 		Expect(err).NotTo(HaveOccurred())
-		for number, attempts := range unusualAttempts {
-			Expect(text).To(ContainSubstring(route(number, attempts)))
+		for number, fields := range unusualFields {
+			Expect(text).To(ContainSubstring(route(number, fields)))
 		}
 	})
 
