Answers in chunks are whole with the largest MaxBodyBytes

What callers would see (found by reading, no report): with MaxBodyBytes a client of an unsafe or idempotent route got 200 with the server's seal and an empty body whenever the server answered in chunks.

Cause: the body was read through a limit of MaxBodyBytes + 1, which overflows; a reader with a negative limit ends at once.

Change: the limit can't overflow, and what is buffered because of MaxBodyBytes is bounded by 64 MiB, beyond which the response is streamed.

--- a/internal/apply/objects.go
+++ b/internal/apply/objects.go
@@ -63,8 +63,8 @@
 type limitsObject struct {
 	header `json:",inline"`
 	Spec   struct {
-		MaxHeaderBytes int            `json:"maxHeaderBytes"`
-		MaxBodyBytes   int64          `json:"maxBodyBytes"`
+		MaxHeaderBytes bounded.Bytes  `json:"maxHeaderBytes"`
+		MaxBodyBytes   bounded.Bytes  `json:"maxBodyBytes"`
 		HeaderTimeout  clock.Duration `json:"headerTimeout"`
 		IdleTimeout    clock.Duration `json:"idleTimeout"`
 	} `json:"spec"`
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -55,8 +55,9 @@
 
 // LimitsSpec limits the size and duration of client requests.
 type LimitsSpec struct {
-	MaxHeaderBytes int            `json:"MaxHeaderBytes"`
-	MaxBodyBytes   int64          `json:"MaxBodyBytes"`
+	// MaxHeaderBytes limits the request line and header; below 1 it sets no limit of its own.
+	MaxHeaderBytes bounded.Bytes  `json:"MaxHeaderBytes"`
+	MaxBodyBytes   bounded.Bytes  `json:"MaxBodyBytes"`
 	HeaderTimeout  clock.Duration `json:"HeaderTimeout"`
 	IdleTimeout    clock.Duration `json:"IdleTimeout"`
 	Revision       Version        `json:"Revision"`
@@ -100,8 +101,6 @@
 
 func (l *LimitsSpec) check() error {
 	return validation.ValidateStruct(l,
-		validation.Field(&l.MaxHeaderBytes, validation.Min(0)),
-		validation.Field(&l.MaxBodyBytes, validation.Min(int64(0))),
 		validation.Field(&l.Revision, validation.Required),
 	)
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -27,14 +27,23 @@
 	go d.runAttempt(server, d.canaryMark(server))
 }
 
-// runAttempt runs one attempt to its end, even if the client no longer waits.
-func (d *forwarder) runAttempt(server *balancer.Endpoint, mark outlier.Label) {
-	lateWait, bufferLimit := repeatableLateWait, int64(d.settings.Load().Tuning.BufferBytes)
+// responseBufferLimit is the length up to which a response is read completely before any of it reaches the client.
+func (d *forwarder) responseBufferLimit() int64 {
+	limit := int64(d.settings.Load().Tuning.BufferBytes)
 	if !d.request.route.Repeatable() {
-		lateWait, bufferLimit = unrepeatableLateWait, max(bufferLimit, d.request.snapshot.routingTable.Limits.MaxBodyBytes)
+		limit = max(limit, min(int64(d.request.snapshot.routingTable.Limits.MaxBodyBytes), maxBufferedBytes))
 	}
 	if d.request.route.RouteType == config.Idempotent {
-		bufferLimit = max(bufferLimit, maxRecordedBytes)
+		limit = max(limit, maxRecordedBytes)
+	}
+	return limit
+}
+
+// runAttempt runs one attempt to its end, even if the client no longer waits.
+func (d *forwarder) runAttempt(server *balancer.Endpoint, mark outlier.Label) {
+	lateWait := repeatableLateWait
+	if !d.request.route.Repeatable() {
+		lateWait = unrepeatableLateWait
 	}
 	streamAfter := int64(0)
 	if d.request.route.RouteType == config.Download && d.inbound.Paced() {
@@ -43,7 +52,7 @@
 	}
 	start := d.clock.Monotonic()
 	response, err := server.Pool.Deliver(upstream.Delivery{
-		Request: d.request.Request, ClientContext: d.abortContext(), Deadline: d.request.deadline, ResponseDeadline: d.request.deadline.Add(lateWait), ConnectTimeout: serverConnectTimeout, BufferLimit: bufferLimit, StreamThreshold: streamAfter, Inbound: d.inbound, Outbound: d.outbound,
+		Request: d.request.Request, ClientContext: d.abortContext(), Deadline: d.request.deadline, ResponseDeadline: d.request.deadline.Add(lateWait), ConnectTimeout: serverConnectTimeout, BufferLimit: d.responseBufferLimit(), StreamThreshold: streamAfter, Inbound: d.inbound, Outbound: d.outbound,
 		Serving: func() bool { return d.acceptsRequests(server) }, MaySend: d.request.maySend,
 	})
 	now := d.clock.Monotonic()
--- a/internal/proxy/attempt_limit_test.go
+++ b/internal/proxy/attempt_limit_test.go
@@ -63,3 +63,19 @@
 		Expect(p.snapshot.Load().balancer.InFlight("s")).To(BeZero())
 	})
 })
+
+// Guards against a proxy that buffers whatever a server sends, because the operator sets no limit for the bodies of requests.
+var _ = DescribeTable("a response is buffered up to a bound of the process, whatever MaxBodyBytes is",
+	func(routeType config.RouteType, maxBodyBytes bounded.Bytes, expected int) {
+		p, req := newTestRequest(routeType)
+		req.snapshot.routingTable.Limits.MaxBodyBytes = maxBodyBytes
+		d := &forwarder{proxy: p, request: req}
+		Expect(d.responseBufferLimit()).To(BeEquivalentTo(expected))
+	},
+	Entry("not repeatable, no limit", config.Unsafe, bounded.MaxBytes, 64<<20),
+	Entry("not repeatable, an ordinary limit", config.Unsafe, bounded.Bytes(8<<20), 8<<20),
+	Entry("not repeatable, a negative limit", config.Unsafe, bounded.Bytes(-1), 1<<20),
+	Entry("keyed, no limit", config.Idempotent, bounded.MaxBytes, 64<<20),
+	Entry("keyed, an ordinary limit", config.Idempotent, bounded.Bytes(8<<20), 32<<20),
+	Entry("repeatable, no limit", config.Safe, bounded.MaxBytes, 1<<20),
+)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -33,6 +33,9 @@
 	maxUnsentRetries     = 3
 	// maxRecordedBytes bounds the responses that are stored for replay.
 	maxRecordedBytes = 32 << 20
+	// maxBufferedBytes bounds the responses to requests that are not repeatable that are buffered
+	// because MaxBodyBytes allows as much. Longer ones are streamed.
+	maxBufferedBytes = 64 << 20
 )
 
 // admissionMiddleware selects the route's service and rejects a request at once when
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -114,7 +114,7 @@
 		return nil, apierror.New(apierror.MalformedRequest, "request target is not a path")
 	case len(attemptIDs) != 1 || attemptIDs[0] == "":
 		return nil, apierror.New(apierror.MalformedRequest, "exactly one attempt ID is required")
-	case limits.MaxHeaderBytes > 0 && headerSize(r) > limits.MaxHeaderBytes:
+	case limits.MaxHeaderBytes > 0 && headerSize(r) > int(limits.MaxHeaderBytes):
 		return nil, apierror.New(apierror.HeaderTooLarge, "")
 	case len(r.Header.Values(mirror.ShadowHeader)) > 0:
 		return nil, apierror.New(apierror.ShadowForbidden, "")
@@ -136,7 +136,7 @@
 		}
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(limits.MaxBodyBytes, 1)))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(max(limits.MaxBodyBytes, 1))))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -137,11 +138,13 @@
 	return response, nil
 }
 
+// readLimited reads a body of the given length (-1 if unknown), of which at most one byte
+// exceeds the limit.
 func readLimited(source io.Reader, length, limit int64) ([]byte, error) {
 	if length >= 0 {
 		return bounded.Read(source, int(length))
 	}
-	return io.ReadAll(io.LimitReader(source, limit+1))
+	return io.ReadAll(io.LimitReader(source, min(limit, math.MaxInt64-1)+1))
 }
 
 // idleTimeout returns how long a connection may be idle, from its Keep-Alive header.
