A traffic split with weights of any size keeps its ratio

What callers would see (found by reading, no report): weights of 1e308 and 1e308 were acknowledged and all requests of the route went to the first service; a weight beyond a float got 400.

Cause: the sum of the weights is infinite, and Pick fell back to the first service.

Change: weights are divided by the highest before they are summed; numbers beyond a float are held at the largest one.

--- a/internal/apply/objects.go
+++ b/internal/apply/objects.go
@@ -45,8 +45,8 @@
 		Priority      int              `json:"priority"`
 		MaxAttempts   bounded.Count    `json:"maxAttempts"`
 		BackendRefs   []struct {
-			Name   string  `json:"name"`
-			Weight float64 `json:"weight"`
+			Name   string        `json:"name"`
+			Weight bounded.Float `json:"weight"`
 		} `json:"backendRefs"`
 	} `json:"spec"`
 }
--- a/internal/bounded/number.go
+++ b/internal/bounded/number.go
@@ -27,22 +27,46 @@
 // UnmarshalJSON reads the number and holds it at MaxBytes.
 func (b *Bytes) UnmarshalJSON(text []byte) error { return decodeWhole(text, MaxBytes, b) }
 
-// decodeWhole sets out to the whole number in the text, held between -limit and limit. As usual in
-// JSON decoding, null leaves out unchanged.
-func decodeWhole[T ~int | ~int64](text []byte, limit T, out *T) error {
-	if string(text) == "null" {
-		return nil
+// Float is a number decoded from any JSON number. One that is too large for a float is held at the largest float.
+type Float float64
+
+// UnmarshalJSON reads the number and holds it at the largest float.
+func (f *Float) UnmarshalJSON(text []byte) error {
+	number, err := readNumber(text)
+	if err != nil || number == "" {
+		return err
 	}
-	var number json.Number
-	if err := json.Unmarshal(text, &number); err != nil || text[0] == '"' {
-		return errors.NotValidf("number %s", text)
+	*f = Float(min(max(parseFloat(number), -math.MaxFloat64), math.MaxFloat64))
+	return nil
+}
+
+// decodeWhole sets out to the whole number in the text, held between -limit and limit.
+func decodeWhole[T ~int | ~int64](text []byte, limit T, out *T) error {
+	number, err := readNumber(text)
+	if err != nil || number == "" {
+		return err
 	}
 	if whole, err := strconv.ParseInt(string(number), 10, 64); err == nil {
 		*out = T(min(max(whole, -int64(limit)), int64(limit)))
 		return nil
 	}
-	// ParseFloat returns an infinity of the right sign for a number out of range.
-	value, _ := strconv.ParseFloat(string(number), 64)
-	*out = T(min(max(value, -float64(limit)), float64(limit)))
+	*out = T(min(max(parseFloat(number), -float64(limit)), float64(limit)))
 	return nil
 }
+
+// readNumber returns the JSON number in the text. As usual in JSON decoding, null changes nothing: it gives no number.
+func readNumber(text []byte) (number json.Number, err error) {
+	if string(text) == "null" {
+		return "", nil
+	}
+	if err = json.Unmarshal(text, &number); err != nil || text[0] == '"' {
+		return "", errors.NotValidf("number %s", text)
+	}
+	return number, nil
+}
+
+// parseFloat returns the number, or an infinity of its sign if it is out of range.
+func parseFloat(number json.Number) float64 {
+	value, _ := strconv.ParseFloat(string(number), 64)
+	return value
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -167,4 +167,26 @@
 		found := items.Compile().Find("h", "/a/")
 		Expect([]string{found.Pick(0), found.Pick(0.2), found.Pick(0.3), found.Pick(0.99)}).To(Equal([]string{"s", "s", "t", "t"}))
 	})
+
+	// Guards against a split that sends everything to its first service because the sum of its weights is infinite.
+	DescribeTable("splits traffic by weights of any size", func(first, second string, boundary float64) {
+		items := config.ItemSet{}
+		split := fmt.Sprintf(`,"TrafficSplit":[{"Service":"s","Weight":%s},{"Service":"t","Weight":%s}]`, first, second)
+		text := strings.Replace(string(requestJSON(routeJSON("a", "/a/", "", 2, split))), `"Services":[`, `"Services":[{"Name":"t","Revision":"r1"},`, 1)
+		Expect(applyRequest(items, []byte(text))).To(Succeed())
+		found := items.Compile().Find("h", "/a/")
+		for point := 0.0; point < 1; point += 0.01 {
+			expected := "s"
+			if point >= boundary {
+				expected = "t"
+			}
+			Expect(found.Pick(point)).To(Equal(expected), "at %g", point)
+		}
+	},
+		Entry("one to one", "1e308", "1e308", 0.495),
+		Entry("three to one", "1.5e308", "0.5e308", 0.745),
+		Entry("beyond a float", "1e400", "1e400", 0.495),
+		Entry("tiny", "1e-320", "3e-320", 0.245),
+		Entry("all to the second", "0", "1e308", -1.0),
+	)
 })
--- a/internal/config/routing_table.go
+++ b/internal/config/routing_table.go
@@ -12,8 +12,9 @@
 // Route is a route prepared for request routing.
 type Route struct {
 	RouteSpec
-	Host        string
-	totalWeight float64
+	Host string
+	// shares holds the share of the traffic that each service of the traffic split receives.
+	shares []float64
 	// Tier is the position of the route in the order of load shedding.
 	Tier shedding.Tier
 	// Mirror is the mirror that copies the traffic of the route, or nil.
@@ -34,18 +35,33 @@
 	if len(r.TrafficSplit) == 0 {
 		return r.Service
 	}
-	remaining := point * r.totalWeight
-	for _, share := range r.TrafficSplit {
-		if remaining -= share.Weight; remaining < 0 && share.Weight > 0 {
-			return share.Service
+	remaining, last := point, ""
+	for i, share := range r.shares {
+		if share > 0 {
+			last = r.TrafficSplit[i].Service
 		}
-	}
-	for _, share := range r.TrafficSplit {
-		if share.Weight > 0 {
-			return share.Service
+		if remaining -= share; remaining < 0 {
+			break
 		}
 	}
-	return ""
+	return last
+}
+
+// trafficShares returns each service's share of the traffic. It divides by the highest weight first, because the sum of
+// the weights may be too large for a float.
+func trafficShares(split []WeightedService) (shares []float64) {
+	highest, sum := 0.0, 0.0
+	for _, service := range split {
+		highest = max(highest, float64(service.Weight))
+	}
+	for _, service := range split {
+		share := float64(service.Weight) / highest
+		shares, sum = append(shares, share), sum+share
+	}
+	for i := range shares {
+		shares[i] /= sum
+	}
+	return shares
 }
 
 // RoutingTable is an immutable index of a configuration, read on every request.
@@ -129,9 +145,7 @@
 	if json.Unmarshal(item.Body, &route.RouteSpec) != nil {
 		return
 	}
-	for _, share := range route.TrafficSplit {
-		route.totalWeight += share.Weight
-	}
+	route.shares = trafficShares(route.TrafficSplit)
 	if route.MaxAttempts < 1 {
 		route.MaxAttempts = 1
 	}
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -24,8 +24,8 @@
 
 // WeightedService is a service with its weight in a traffic split.
 type WeightedService struct {
-	Service string  `json:"Service"`
-	Weight  float64 `json:"Weight"`
+	Service string        `json:"Service"`
+	Weight  bounded.Float `json:"Weight"`
 }
 
 // RouteSpec is a route as the operator configures it.
@@ -64,14 +64,14 @@
 }
 
 func (r *RouteSpec) check() error {
-	weights := 0.0
+	highest := bounded.Float(0)
 	for _, share := range r.TrafficSplit {
 		if share.Weight < 0 {
 			return validation.NewError("weight", "a weight of the traffic split is below 0")
 		}
-		weights += share.Weight
+		highest = max(highest, share.Weight)
 	}
-	if len(r.TrafficSplit) > 0 && weights <= 0 {
+	if len(r.TrafficSplit) > 0 && highest == 0 {
 		return validation.NewError("weight", "the weights of the traffic split sum to 0")
 	}
 	return validation.ValidateStruct(r,
