MaxConnections and Priority of any size are read and held at a bound

Cause: three quarters of the number are computed as three times the number by 4, which overflows.

Change: both fields are a bounded.Count, in the configuration and in the objects of apply. MaxConnections below 1 means no limit. A test of apply compares with bounded.Count(100) in place of int 100: the type changed, the value didn't.

--- a/internal/apply/objects.go
+++ b/internal/apply/objects.go
@@ -42,7 +42,7 @@
 		Type          config.RouteType `json:"type"`
 		Timeout       clock.Duration   `json:"timeout"`
 		TargetLatency clock.Duration   `json:"targetLatency"`
-		Priority      int              `json:"priority"`
+		Priority      bounded.Count    `json:"priority"`
 		MaxAttempts   bounded.Count    `json:"maxAttempts"`
 		BackendRefs   []struct {
 			Name   string        `json:"name"`
@@ -54,9 +54,9 @@
 type serviceObject struct {
 	header `json:",inline"`
 	Spec   struct {
-		HealthPath      string `json:"healthPath"`
-		MaxConnections  int    `json:"maxConnections"`
-		IdempotentDedup bool   `json:"idempotentDedup"`
+		HealthPath      string        `json:"healthPath"`
+		MaxConnections  bounded.Count `json:"maxConnections"`
+		IdempotentDedup bool          `json:"idempotentDedup"`
 	} `json:"spec"`
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/bounded"
 	"ploverhitch/internal/config"
 )
 
@@ -189,4 +190,16 @@
 		Entry("tiny", "1e-320", "3e-320", 0.245),
 		Entry("all to the second", "0", "1e308", -1.0),
 	)
+
+	// Guards against a number that overflows, or that is refused, although no rule calls it invalid.
+	It("holds numbers of any size at their bounds", func() {
+		items := config.ItemSet{}
+		text := strings.Replace(string(requestJSON(routeJSON("a", "/a/", "s", 2, `,"Priority":1e30,"MaxAttempts":4611686018427387904`))),
+			`"MaxConnections":9`, `"MaxConnections":4611686018427387904`, 1)
+		Expect(applyRequest(items, []byte(text))).To(Succeed())
+		table := items.Compile()
+		Expect(table.Services["s"].MaxConnections).To(Equal(bounded.MaxCount))
+		Expect(table.Find("h", "/a/").MaxAttempts).To(Equal(bounded.MaxCount))
+		Expect(table.HighestPriority("s")).To(BeEquivalentTo(bounded.MaxCount))
+	})
 })
--- a/internal/config/extensions.go
+++ b/internal/config/extensions.go
@@ -94,7 +94,7 @@
 
 // sheddingRoute returns the properties of the route that decide its load shedding tier.
 func (r *RouteSpec) sheddingRoute(host string) shedding.Route {
-	return shedding.Route{Name: r.Name, Host: host, Priority: r.Priority, Kind: overloadKinds[r.RouteType]}
+	return shedding.Route{Name: r.Name, Host: host, Priority: int(r.Priority), Kind: overloadKinds[r.RouteType]}
 }
 
 func (s ItemSet) sheddingRoutes() (out []shedding.Route) {
--- a/internal/config/routing_table.go
+++ b/internal/config/routing_table.go
@@ -150,8 +150,8 @@
 		route.MaxAttempts = 1
 	}
 	for _, service := range route.Services() {
-		if priority, found := t.priorities[service]; !found || route.Priority < priority {
-			t.priorities[service] = route.Priority
+		if priority, found := t.priorities[service]; !found || int(route.Priority) < priority {
+			t.priorities[service] = int(route.Priority)
 		}
 	}
 	if t.routes[route.Host] == nil {
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -35,7 +35,7 @@
 	RouteType     RouteType         `json:"RouteType"`
 	Timeout       clock.Duration    `json:"Timeout"`
 	TargetLatency clock.Duration    `json:"TargetLatency"`
-	Priority      int               `json:"Priority"`
+	Priority      bounded.Count     `json:"Priority"`
 	Service       string            `json:"Service"`
 	TrafficSplit  []WeightedService `json:"TrafficSplit"`
 	// MaxAttempts is the greatest number of servers to which one attempt of a client may be
@@ -46,11 +46,13 @@
 
 // ServiceSpec is a service as the operator configures it.
 type ServiceSpec struct {
-	Name            string  `json:"Name"`
-	HealthPath      string  `json:"HealthPath"`
-	MaxConnections  int     `json:"MaxConnections"`
-	IdempotentDedup bool    `json:"IdempotentDedup"`
-	Revision        Version `json:"Revision"`
+	Name       string `json:"Name"`
+	HealthPath string `json:"HealthPath"`
+	// MaxConnections is how many connections one server accepts from all proxies together. A number
+	// below 1 means no limit.
+	MaxConnections  bounded.Count `json:"MaxConnections"`
+	IdempotentDedup bool          `json:"IdempotentDedup"`
+	Revision        Version       `json:"Revision"`
 }
 
 // LimitsSpec limits the size and duration of client requests.
@@ -94,7 +96,6 @@
 func (s *ServiceSpec) check() error {
 	return validation.ValidateStruct(s,
 		validation.Field(&s.Name, validation.Required),
-		validation.Field(&s.MaxConnections, validation.Min(0)),
 		validation.Field(&s.Revision, validation.Required),
 	)
 }
--- a/internal/inspect/check.go
+++ b/internal/inspect/check.go
@@ -90,7 +90,7 @@
 			find("invalid", "service "+item.ID.Name, "cannot be read")
 			return
 		}
-		if minimum := max(slots[service.Name], proxies); service.MaxConnections > 0 && service.MaxConnections < minimum {
+		if minimum := max(slots[service.Name], proxies); service.MaxConnections > 0 && int(service.MaxConnections) < minimum {
 			find("connections", "service "+service.Name, "%d connections a server are fewer than its %d slots or the %d proxies",
 				service.MaxConnections, slots[service.Name], proxies)
 		}
--- a/internal/proxy/attempt_limit_test.go
+++ b/internal/proxy/attempt_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
 	"runtime"
 	"time"
@@ -79,3 +80,20 @@
 	Entry("keyed, an ordinary limit", config.Idempotent, bounded.Bytes(8<<20), 32<<20),
 	Entry("repeatable, no limit", config.Safe, bounded.MaxBytes, 1<<20),
 )
+
+// Guards against a proxy that sends one request at a time to a server because MaxConnections overflows or is negative.
+var _ = DescribeTable("a server takes this proxy's share of its connections", func(maxConnections string, expected int) {
+	p, req := newTestRequest(config.Safe)
+	var service config.ServiceSpec
+	Expect(json.Unmarshal([]byte(`{"MaxConnections":`+maxConnections+`}`), &service)).To(Succeed())
+	req.snapshot.routingTable.Services["s"] = service
+	d := &forwarder{proxy: p, request: req}
+	Expect(d.connectionLimit()).To(Equal(expected))
+},
+	Entry("100", "100", 75),
+	Entry("1, of which every proxy needs one", "1", 1),
+	Entry("a number whose multiple overflows", "4611686018427387904", math.MaxInt32*3/4),
+	Entry("more than 64 bits", "1e30", math.MaxInt32*3/4),
+	Entry("none set", "0", 0),
+	Entry("negative, which sets none", "-1", 0),
+)
--- a/internal/proxy/selection.go
+++ b/internal/proxy/selection.go
@@ -37,8 +37,8 @@
 // from all proxies together. A quarter is reserved for proxies that are starting.
 func (d *forwarder) connectionLimit() int {
 	s := d.snapshot.Load()
-	maxConnections := s.routingTable.Services[d.request.service].MaxConnections
-	if maxConnections == 0 || s.proxyCount == 0 {
+	maxConnections := int(s.routingTable.Services[d.request.service].MaxConnections)
+	if maxConnections < 1 || s.proxyCount == 0 {
 		return 0
 	}
 	return max(1, maxConnections*3/4/s.proxyCount)
@@ -46,7 +46,7 @@
 
 // slotShare is the share of the slots at another site that the request may use.
 func (s *snapshot) slotShare(req *clientRequest) float64 {
-	if req.route.Priority <= s.routingTable.HighestPriority(req.service) {
+	if int(req.route.Priority) <= s.routingTable.HighestPriority(req.service) {
 		return 1
 	}
 	return lowPriorityShare
