A client's deadline of any size, or with a fraction, is served

What callers would see (found by reading, no report): 400 for a Ploverhitch-Deadline-Ms beyond 64 bits or with a fraction of a millisecond.

Cause: the header was read as a whole 64-bit number.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -13,6 +13,7 @@
 
 	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/balancer"
+	"ploverhitch/internal/clock"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/mirror"
@@ -103,6 +104,9 @@
 	}
 }
 
+// deadlineUnit is the unit of upstream.HeaderDeadline.
+const deadlineUnit = "ms"
+
 // readRequest validates the request, finds its route and reads the whole body.
 func (p *proxy) readRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, error) {
 	req := &clientRequest{arrivedAt: time.Now(), snapshot: p.snapshot.Load(), clientAddress: clientAddress(r)}
@@ -127,11 +131,11 @@
 	}
 	req.deadline = req.arrivedAt.Add(req.route.Timeout.Std())
 	if deadlineText := r.Header.Get(upstream.HeaderDeadline); deadlineText != "" {
-		ms, err := strconv.ParseInt(deadlineText, 10, 64)
-		if err != nil || ms < 0 {
+		clientTime, err := clock.ParseDuration(deadlineText + deadlineUnit)
+		if err != nil {
 			return nil, apierror.New(apierror.MalformedRequest, "the deadline is not a non-negative number of milliseconds")
 		}
-		if clientDeadline := req.arrivedAt.Add(time.Duration(min(ms, 1<<32)) * time.Millisecond); clientDeadline.Before(req.deadline) {
+		if clientDeadline := req.arrivedAt.Add(clientTime.Std()); clientDeadline.Before(req.deadline) {
 			req.deadline = clientDeadline
 		}
 	}
--- a/internal/standin/numbers_test.go
+++ b/internal/standin/numbers_test.go
@@ -56,6 +56,18 @@
 		}
 	})
 
+	// Guards against a client that gets 400 because it says in more than 64 bits, or in fractions, that it will wait.
+	It("of a client's deadline are served whatever their size", func() {
+		for _, deadline := range []string{"1200", "1200.5", "9223372036854775807", "99999999999999999999", "1e300"} {
+			status, _, _ := s.send(0, http.MethodGet, "/read/a", "", map[string]string{"Ploverhitch-Deadline-Ms": deadline})
+			Expect(status).To(Equal(200), deadline)
+		}
+		for _, deadline := range []string{"soon", "NaN", "-1", "1200ms"} {
+			status, _, _ := s.send(0, http.MethodGet, "/read/a", "", map[string]string{"Ploverhitch-Deadline-Ms": deadline})
+			Expect(status).To(Equal(400), deadline)
+		}
+	})
+
 	// Guards against a mend that holds for new orders only, and not for a configuration that is on the disks.
 	It("are served from the disks too, after a restart of all control nodes", func() {
 		for number := range s.cores {
