A long idle time that a server announces no longer ends its connections

What was seen (found by reading): with "Keep-Alive: timeout=" each request opened a new connection to the server.

Cause: seconds times a second overflows. Change: clock.ParseAmount reads numbers without a unit, here and in a client's deadline, and holds them at 100 years. A negative number, which meant no idle time at all, now means the 4 s of a server that announces none.

--- a/internal/clock/duration.go
+++ b/internal/clock/duration.go
@@ -25,8 +25,8 @@
 func ParseDuration(text string) (Duration, error) {
 	for _, candidate := range durationUnits {
 		if number, ok := strings.CutSuffix(text, candidate.suffix); ok {
-			if value, ok := parseNumber(number); ok {
-				return FromFloat(value * float64(candidate.unit)), nil
+			if duration, ok := ParseAmount(number, candidate.unit); ok {
+				return duration, nil
 			}
 			break
 		}
@@ -34,15 +34,16 @@
 	return 0, errors.NotValidf("duration %q (want a number and ms, s, m or h)", text)
 }
 
-// parseNumber reads a number that is not negative. A number that is too large for a float is infinite; the words
-// for infinity are no numbers.
-func parseNumber(text string) (value float64, ok bool) {
+// ParseAmount reads a number of units that stands without its unit, such as "1.5" seconds. It reports whether the text is
+// a number that is not negative; the words for infinity are no numbers.
+func ParseAmount(text string, unit time.Duration) (duration Duration, ok bool) {
 	value, err := strconv.ParseFloat(text, 64)
+	// ParseFloat returns an infinity for a number that is too large for a float.
 	tooLarge := errors.Is(err, strconv.ErrRange)
 	if err != nil && !tooLarge || math.IsNaN(value) || math.IsInf(value, 0) && !tooLarge {
 		return 0, false
 	}
-	return value, value >= 0
+	return FromFloat(value * float64(unit)), value >= 0
 }
 
 // FromFloat converts a number of nanoseconds and holds it at MaxDuration. What is above 0 is at least a nanosecond;
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -104,9 +104,6 @@
 	}
 }
 
-// deadlineUnit is the unit of upstream.HeaderDeadline.
-const deadlineUnit = "ms"
-
 // readRequest validates the request, finds its route and reads the whole body.
 func (p *proxy) readRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, error) {
 	req := &clientRequest{arrivedAt: time.Now(), snapshot: p.snapshot.Load(), clientAddress: clientAddress(r)}
@@ -131,8 +128,8 @@
 	}
 	req.deadline = req.arrivedAt.Add(req.route.Timeout.Std())
 	if deadlineText := r.Header.Get(upstream.HeaderDeadline); deadlineText != "" {
-		clientTime, err := clock.ParseDuration(deadlineText + deadlineUnit)
-		if err != nil {
+		clientTime, ok := clock.ParseAmount(deadlineText, time.Millisecond)
+		if !ok {
 			return nil, apierror.New(apierror.MalformedRequest, "the deadline is not a non-negative number of milliseconds")
 		}
 		if clientDeadline := req.arrivedAt.Add(clientTime.Std()); clientDeadline.Before(req.deadline) {
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -4,13 +4,13 @@
 	"io"
 	"math"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
 
 	"ploverhitch/internal/bounded"
+	"ploverhitch/internal/clock"
 )
 
 const (
@@ -151,8 +151,8 @@
 func idleTimeout(keepAlive string) time.Duration {
 	for _, part := range strings.Split(keepAlive, ",") {
 		if value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
-			if seconds, err := strconv.Atoi(value); err == nil {
-				return max(0, time.Duration(seconds)*time.Second-idleTimeoutMargin)
+			if announced, ok := clock.ParseAmount(value, time.Second); ok {
+				return max(0, announced.Std()-idleTimeoutMargin)
 			}
 		}
 	}
