An entry's numbers no longer make the platform's list unreadable

What was seen (found by reading): one Capacity beyond 64 bits, or one WarmupLeft that is negative or no time, made a page and so the whole reading fail; two servers with the largest Capacity summed to a negative one; a very low RatePerS made a member read without a pause.

Cause: numbers decoded to the letter, summed and converted without a bound.

--- a/internal/control/listing/pace.go
+++ b/internal/control/listing/pace.go
@@ -44,7 +44,7 @@
 func (p Pace) Next(startedAt, endedAt clock.Instant, calls int) clock.Instant {
 	interval := p.MinInterval
 	if p.Rate > 0 {
-		interval = max(interval, time.Duration(float64(calls)/p.Rate*float64(time.Second)))
+		interval = max(interval, clock.FromFloat(float64(calls)/p.Rate*float64(time.Second)).Std())
 	}
 	return max(startedAt+clock.Instant(interval), endedAt+clock.Instant(minPause))
 }
--- a/internal/control/listing/pace_test.go
+++ b/internal/control/listing/pace_test.go
@@ -30,6 +30,12 @@
 		}
 	})
 
+	// Guards against a member that reads without a pause because the interval overflows.
+	It("waits for as long as a very low rate asks", func() {
+		slow := listing.Pace{MinInterval: period, Rate: 1e-300}
+		Expect(slow.Next(second, 2*second, 15)).To(BeNumerically(">", clock.Instant(50*365*24*time.Hour)))
+	})
+
 	It("pauses after a read that took longer than the interval", func() {
 		Expect(pace.Next(0, 3*second, 15)).To(BeNumerically(">", 3*second))
 	})
--- a/internal/control/listing/window.go
+++ b/internal/control/listing/window.go
@@ -9,6 +9,9 @@
 // windowLength is the time over which the platform counts calls.
 const windowLength = clock.Instant(time.Second)
 
+// maxCallsPerSecond is the largest limit that a Window applies.
+const maxCallsPerSecond = 1e9
+
 // Window is a sliding-window rate limiter for calls. The zones are read concurrently, so
 // without it the calls of a read would all be made at once.
 type Window struct {
@@ -22,7 +25,7 @@
 	for len(w.callTimes) > 0 && w.callTimes[0]+windowLength <= now {
 		w.callTimes = w.callTimes[1:]
 	}
-	callTime, limit := now, max(1, int(perSecond))
+	callTime, limit := now, int(min(max(1, perSecond), maxCallsPerSecond))
 	if perSecond > 0 && len(w.callTimes) >= limit {
 		callTime = max(now, w.callTimes[len(w.callTimes)-limit]+windowLength)
 	}
--- a/internal/control/listing/window_test.go
+++ b/internal/control/listing/window_test.go
@@ -24,6 +24,14 @@
 		Expect(window.Reserve(half, 0)).To(BeZero(), "without a bound there is no wait")
 	})
 
+	// Guards against one call per second because the limit overflows (on x86-64).
+	It("allows calls at once under a very high limit", func() {
+		window := &listing.Window{}
+		for range 100 {
+			Expect(window.Reserve(0, 1e300)).To(BeZero())
+		}
+	})
+
 	It("never allows more calls in a second than the limit, whenever they are requested", func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		window, now := &listing.Window{}, clock.Instant(0)
--- a/internal/control/page_client.go
+++ b/internal/control/page_client.go
@@ -10,20 +10,23 @@
 
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/bounded"
 	"ploverhitch/internal/clock"
 	"ploverhitch/internal/feed"
 )
 
 // listedInstance is one server in the platform's list.
 type listedInstance struct {
-	InstanceId string         `json:"InstanceId"`
-	Service    string         `json:"Service"`
-	Address    string         `json:"Address"`
-	Zone       string         `json:"Zone"`
-	Revision   string         `json:"Revision"`
-	Capacity   int            `json:"Capacity"`
-	State      string         `json:"State"`
-	WarmupLeft clock.Duration `json:"WarmupLeft"`
+	InstanceId string        `json:"InstanceId"`
+	Service    string        `json:"Service"`
+	Address    string        `json:"Address"`
+	Zone       string        `json:"Zone"`
+	Revision   string        `json:"Revision"`
+	Capacity   bounded.Count `json:"Capacity"`
+	State      string        `json:"State"`
+	// WarmupLeft is read as a duration by server: a text that is none must not make the
+	// page unreadable.
+	WarmupLeft string `json:"WarmupLeft"`
 }
 
 // listPage is one page of the platform's list.
@@ -82,11 +85,11 @@
 // server converts the entry to the form in which the feed carries it.
 func (i listedInstance) server(now time.Time) feed.Server {
 	out := feed.Server{
-		ID: i.InstanceId, Service: i.Service, Address: i.Address, Zone: i.Zone, Capacity: i.Capacity,
+		ID: i.InstanceId, Service: i.Service, Address: i.Address, Zone: i.Zone, Capacity: int(max(0, i.Capacity)),
 		IsReady: i.State == "ready", Revision: i.Revision,
 	}
-	if i.WarmupLeft > 0 {
-		out.WarmupEndMs = now.Add(i.WarmupLeft.Std()).UnixMilli()
+	if left, err := clock.ParseDuration(i.WarmupLeft); err == nil && left > 0 {
+		out.WarmupEndMs = now.Add(left.Std()).UnixMilli()
 	}
 	return out
 }
