Settings with a long KeyWindow or large numbers no longer keep a process from starting

What was seen (found by reading): with a KeyWindow above 24 h every process refused its settings ("tuning.retention: must be no less than"), and so it did with whole numbers like 1e30.

Cause: the fixed default of retention, repeated in the deploy template, is checked against KeyWindow; whole numbers were plain ints.

Change: without a retention in the file it is the longer of 24 h and KeyWindow. One that is set below KeyWindow is refused as before.

--- a/internal/bounded/number.go
+++ b/internal/bounded/number.go
@@ -21,6 +21,19 @@
 // UnmarshalJSON reads the number and holds it at MaxCount.
 func (c *Count) UnmarshalJSON(text []byte) error { return decodeWhole(text, MaxCount, c) }
 
+// UnmarshalYAML reads the number and holds it at MaxCount.
+func (c *Count) UnmarshalYAML(unmarshal func(any) error) error {
+	var number float64
+	if err := unmarshal(&number); err != nil {
+		return err
+	}
+	if math.IsNaN(number) {
+		return errors.NotValidf("number NaN")
+	}
+	*c = Count(min(max(number, -float64(MaxCount)), float64(MaxCount)))
+	return nil
+}
+
 // Bytes is a number of bytes, decoded from any JSON number. A fraction is dropped.
 type Bytes int64
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -142,7 +142,7 @@
 func (n *node) maintainView(view membership.View) {
 	current := n.settings.Load()
 	lost, mayChange := n.livenessWatch.Replaceable(view, n.self, current.Tuning.ReplaceAfter.Std())
-	isFull := len(view.Members) >= 2*current.Platform.FaultTolerance.Machines+1
+	isFull := len(view.Members) >= 2*int(current.Platform.FaultTolerance.Machines)+1
 	newcomer := n.joiningNode(view)
 	if !mayChange || newcomer == "" || lost == "" && isFull {
 		return
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -139,8 +139,8 @@
 func (n *node) openDisk(set *settings.Settings) error {
 	p, t := set.Platform, set.Tuning
 	policy := idempotency.Policy{
-		OpenLimit: t.OpenIntentLimit, Retention: t.Retention.Std(), KeyWindow: p.Bounds.KeyWindow.Std(),
-		ClockMargin: 10 * time.Second, SoftLimitBytes: maxIntentBytes(p.Limits), HardLimitBytes: p.Limits.MemoryMB << 20 * 2 / 5,
+		OpenLimit: int(t.OpenIntentLimit), Retention: t.Retention.Std(), KeyWindow: p.Bounds.KeyWindow.Std(),
+		ClockMargin: 10 * time.Second, SoftLimitBytes: maxIntentBytes(p.Limits), HardLimitBytes: int(p.Limits.MemoryMB) << 20 * 2 / 5,
 	}
 	reportError := func(err error) { n.log("error", "disk failure", "error", err) }
 	disk, err := storage.OpenDir(p.DataDir)
@@ -161,9 +161,9 @@
 // maxIntentBytes returns how much space the intents may take: a quarter of the memory,
 // and of the disk, where both the checkpoint and the log hold a copy of them.
 func maxIntentBytes(limits settings.Limits) int {
-	bytes := limits.MemoryMB << 20 / 4
+	bytes := int(limits.MemoryMB) << 20 / 4
 	if limits.DiskMB > 0 {
-		bytes = min(bytes, limits.DiskMB<<20/4)
+		bytes = min(bytes, int(limits.DiskMB)<<20/4)
 	}
 	return bytes
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -158,7 +158,7 @@
 		shedder: newLoadShedder(timeSource), trafficMirror: newMirrorSender(),
 	}
 	p.settings.Store(cfg)
-	locality := balancer.Locality{Node: cfg.Platform.NodeName, Zone: cfg.Platform.Zone, SubsetSize: cfg.Tuning.SubsetSize}
+	locality := balancer.Locality{Node: cfg.Platform.NodeName, Zone: cfg.Platform.Zone, SubsetSize: int(cfg.Tuning.SubsetSize)}
 	p.inbound = bandwidth.NewPacer(cfg.Platform.Limits.LinkMbps, timeSource)
 	p.outbound = bandwidth.NewPacer(cfg.Platform.Limits.LinkMbps, timeSource)
 	p.downloads = bandwidth.NewBulkLimiter(p.outbound)
@@ -242,7 +242,7 @@
 	budget := p.retryBudgets[service]
 	if budget == nil {
 		bounds := p.settings.Load().Platform.Bounds
-		floor := func() float64 { return balancer.SlackPerProxy(bounds.RetrySlack, p.snapshot.Load().proxyCount) }
+		floor := func() float64 { return balancer.SlackPerProxy(int(bounds.RetrySlack), p.snapshot.Load().proxyCount) }
 		budget = balancer.NewRetryBudget(bounds.RetryBudgetRatio, bounds.RetryWindow.Std(), floor, p.clock)
 		p.retryBudgets[service] = budget
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,12 +5,14 @@
 import (
 	"os"
 	"strings"
+	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/go-ozzo/ozzo-validation/v4/is"
 	"github.com/juju/errors"
 	"gopkg.in/yaml.v3"
 
+	"ploverhitch/internal/bounded"
 	"ploverhitch/internal/clock"
 )
 
@@ -51,14 +53,14 @@
 
 // Limits holds the resource limits of the process.
 type Limits struct {
-	MemoryMB int     `yaml:"MemoryMb"`
-	DiskMB   int     `yaml:"DiskMb"`
-	LinkMbps float64 `yaml:"LinkMbps"`
+	MemoryMB bounded.Count `yaml:"MemoryMb"`
+	DiskMB   bounded.Count `yaml:"DiskMb"`
+	LinkMbps float64       `yaml:"LinkMbps"`
 }
 
 // FaultTolerance is the number of simultaneous failures to tolerate.
 type FaultTolerance struct {
-	Machines int `yaml:"Machines"`
+	Machines bounded.Count `yaml:"Machines"`
 }
 
 // Bounds holds the limits that the platform's rules set.
@@ -68,7 +70,7 @@
 	Grace            clock.Duration `yaml:"Grace"`
 	RetryBudgetRatio float64        `yaml:"RetryBudgetRatio"`
 	RetryWindow      clock.Duration `yaml:"RetryWindow"`
-	RetrySlack       int            `yaml:"RetrySlack"`
+	RetrySlack       bounded.Count  `yaml:"RetrySlack"`
 	KeyWindow        clock.Duration `yaml:"KeyWindow"`
 	Ack              clock.Duration `yaml:"Ack"`
 	// CanaryShare is set where versions are rolled out on an operator's order; a
@@ -87,8 +89,8 @@
 	VoteTimeout       clock.Duration `yaml:"vote_span"`
 	RecordTimeout     clock.Duration `yaml:"record_wait"`
 	Retention         clock.Duration `yaml:"retention"`
-	OpenIntentLimit   int            `yaml:"open_limit"`
-	BufferBytes       int            `yaml:"buffer_bytes"`
+	OpenIntentLimit   bounded.Count  `yaml:"open_limit"`
+	BufferBytes       bounded.Count  `yaml:"buffer_bytes"`
 	HeartbeatInterval clock.Duration `yaml:"beat"`
 	SilenceTimeout    clock.Duration `yaml:"silent_after"`
 	ReplaceAfter      clock.Duration `yaml:"replace_after"`
@@ -101,7 +103,7 @@
 	// never, when the local site is down, or always.
 	CapacityLeases string `yaml:"branchline"`
 	// SubsetSize is the number of servers of a service that one proxy uses.
-	SubsetSize int `yaml:"working_set"`
+	SubsetSize bounded.Count `yaml:"working_set"`
 	// SharedCutoff says whether nodes shed requests by the cutoff that all of them
 	// agree on: off or on.
 	SharedCutoff string `yaml:"loadgauge"`
@@ -140,20 +142,32 @@
 // ignored. The error names each invalid field.
 func Parse(text []byte) (*Settings, error) {
 	set := &Settings{Tuning: Defaults()}
+	set.Tuning.Retention = retentionNotSet
 	if err := yaml.Unmarshal(text, set); err != nil {
 		return nil, errors.NewNotValid(nil, "settings: "+strings.ReplaceAll(err.Error(), "\n", " "))
 	}
+	if set.Tuning.Retention == retentionNotSet {
+		set.Tuning.Retention = max(defaultRetention, set.Platform.Bounds.KeyWindow)
+	}
 	if err := set.validate(); err != nil {
 		return nil, errors.NewNotValid(nil, "settings: "+err.Error())
 	}
 	return set, nil
 }
 
+const (
+	// defaultRetention is the retention where the file sets none, unless the key window is
+	// longer.
+	defaultRetention = clock.Duration(24 * time.Hour)
+	// retentionNotSet is no duration that a file can contain.
+	retentionNotSet = clock.Duration(-1)
+)
+
 // Defaults returns the tuning parameters that apply where the file sets none.
 func Defaults() Tuning {
 	const ms = clock.Duration(1_000_000)
 	return Tuning{
-		VoteTimeout: 250 * ms, RecordTimeout: 250 * ms, Retention: 24 * 3600 * 1000 * ms,
+		VoteTimeout: 250 * ms, RecordTimeout: 250 * ms, Retention: defaultRetention,
 		OpenIntentLimit: 4096, BufferBytes: 1 << 20, HeartbeatInterval: 300 * ms, SilenceTimeout: 1200 * ms,
 		ReplaceAfter: 2500 * ms, PollInterval: 400 * ms, LogLevel: "warn", CapacityLeases: CapacityLeasesOff, SharedCutoff: SharedCutoffOff, CrossZoneDelayPerKB: 10 * ms, SubsetSize: 24, Loopback: "127.0.0.1",
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/bounded"
+	"ploverhitch/internal/clock"
 	"ploverhitch/internal/settings"
 )
 
@@ -27,6 +29,13 @@
 tuning: {vote_span: 200ms}
 `
 
+// renderedTemplate returns the deploy template with the platform's fields filled in.
+func renderedTemplate(platform string) string {
+	template, err := os.ReadFile("../../deploy/settings.yaml")
+	Expect(err).NotTo(HaveOccurred())
+	return strings.Replace(string(template), "{{.|json}}", platform, 1)
+}
+
 var _ = Describe("a settings file", func() {
 	It("is parsed with defaults, and unknown fields are ignored", func() {
 		set, err := settings.Parse([]byte(settingsFile))
@@ -37,12 +46,36 @@
 	})
 
 	It("is valid when rendered from the deploy template", func() {
-		template, err := os.ReadFile("../../deploy/settings.yaml")
+		_, err := settings.Parse([]byte(renderedTemplate(
+			`{"NodeName":"n","Ip":"10.0.0.1","InternalPorts":[7200,7215],"SeedNodes":["10.0.0.2:8382"],"DataDir":null,"Bounds":{"KeyWindow":"60s"}}`)))
 		Expect(err).NotTo(HaveOccurred())
-		filled := strings.Replace(string(template), "{{.|json}}",
-			`{"NodeName":"n","Ip":"10.0.0.1","InternalPorts":[7200,7215],"SeedNodes":["10.0.0.2:8382"],"DataDir":null,"Bounds":{"KeyWindow":"60s"}}`, 1)
-		_, err = settings.Parse([]byte(filled))
+	})
+
+	// Guards against a process that does not start because the platform's KeyWindow is longer than the usual retention.
+	DescribeTable("keeps intents for at least the key window", func(keyWindow string, expected time.Duration) {
+		for _, text := range []string{settingsFile, renderedTemplate(`{"NodeName":"n","Ip":"10.0.0.1","InternalPorts":[7200,7215],"SeedNodes":["10.0.0.2:8382"],"Bounds":{"KeyWindow":"60s"}}`)} {
+			set, err := settings.Parse([]byte(strings.Replace(text, "60s", keyWindow, 1)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(set.Tuning.Retention.Std()).To(Equal(expected))
+		}
+	},
+		Entry("a minute", "60s", 24*time.Hour),
+		Entry("two days", "172800s", 48*time.Hour),
+		Entry("300 years", "9999999999s", clock.MaxDuration.Std()),
+	)
+
+	// Guards against a process that does not start, or whose limits overflow, because of the size of a number.
+	It("holds whole numbers of any size at their bounds", func() {
+		text := strings.Replace(settingsFile, "Bounds: {", "FaultTolerance: {Machines: 9223372036854775807}\n  Limits: {MemoryMb: 9223372036854775807, DiskMb: 1e30}\n  Bounds: {RetrySlack: 99999999999999999999, ", 1)
+		text = strings.Replace(text, "tuning: {", "tuning: {open_limit: 1e30, buffer_bytes: 9223372036854775807, working_set: 2147483648, ", 1)
+		set, err := settings.Parse([]byte(text))
 		Expect(err).NotTo(HaveOccurred())
+		for _, number := range []bounded.Count{
+			set.Platform.FaultTolerance.Machines, set.Platform.Limits.MemoryMB, set.Platform.Limits.DiskMB, set.Platform.Bounds.RetrySlack,
+			set.Tuning.OpenIntentLimit, set.Tuning.BufferBytes, set.Tuning.SubsetSize,
+		} {
+			Expect(number).To(Equal(bounded.MaxCount))
+		}
 	})
 
 	DescribeTable("that is invalid is rejected with a one-line error that names the field or value",
