An announced length no longer turns the cost of a zone negative

What was seen (found by reading): one response that announces 2^63-1 bytes made a route prefer servers of other zones, and had its downloads refused on a paced link while another was on its way, for some hundred responses; a LinkMbps close to 0 made bulk traffic wait for 292 years.

Cause: the length went into the average without a bound, the products into durations without a check. Change: 64 MiB count at the most, the cost is held, a link is paced as one of 0.01 Mbit/s at the slowest.

--- a/internal/bandwidth/pacer.go
+++ b/internal/bandwidth/pacer.go
@@ -30,6 +30,8 @@
 const (
 	// unpacedMbps is the rate from which a link needs no pacing.
 	unpacedMbps = 200.0
+	// minMbps is the lowest rate that is paced; a lower one is treated as this one.
+	minMbps = 0.01
 	// bulkShare is the share of the link that bulk traffic may use.
 	bulkShare = 0.9
 	// maxBacklog is how much of the link's time may be reserved ahead. It covers the
@@ -49,7 +51,7 @@
 func NewPacer(mbps float64, clock clock.Clock) *Pacer {
 	p := &Pacer{clock: clock}
 	if mbps > 0 && mbps < unpacedMbps {
-		p.perByte = 8e3 / mbps
+		p.perByte = 8e3 / max(mbps, minMbps)
 	}
 	return p
 }
--- a/internal/proxy/response_stats.go
+++ b/internal/proxy/response_stats.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"ploverhitch/internal/clock"
 )
 
 // responseStats holds moving averages over the responses of one route: latency, its
@@ -27,6 +29,9 @@
 	hedgeTargetShare = 0.35
 	// zoneCostMin is the part of the zone cost that does not depend on the size.
 	zoneCostMin = 2 * time.Millisecond
+	// maxExpectedBytes is the largest size that counts. Servers announce sizes before they
+	// send, and one wrong announcement must not decide for hundreds of responses.
+	maxExpectedBytes = 64 << 20
 	// baseDriftWeight is the part of the distance to the mean that baseSeconds
 	// moves up per response.
 	baseDriftWeight = 0.0005
@@ -53,7 +58,7 @@
 	s.baseSeconds += baseDriftWeight * (s.meanSeconds - s.baseSeconds)
 	s.deviationSeconds += weight * (max(deviation, -deviation) - s.deviationSeconds)
 	if bytes >= 0 {
-		s.meanBytes += weight * (float64(bytes) - s.meanBytes)
+		s.meanBytes += weight * (float64(min(bytes, maxExpectedBytes)) - s.meanBytes)
 	}
 }
 
@@ -91,5 +96,5 @@
 func (s *responseStats) zoneCost(perKB time.Duration) time.Duration {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	return zoneCostMin + time.Duration(s.meanBytes/1024*float64(perKB))
+	return zoneCostMin + clock.FromFloat(s.meanBytes/1024*float64(perKB)).Std()
 }
