Repeats of a key in progress end soon after their clients have gone

What was seen (found by reading): on a route with very long times a repeat of a key in progress stayed in the proxy for half of the route's time after its client had gone, in sleeps that doubled without a bound, so repeats pile up.

Cause: the wait took its end and its pauses from the route's times alone. Change: lookups are at most a second apart, and end 2 s after the client has gone (it may have closed only its sending half).

--- a/internal/proxy/await.go
+++ b/internal/proxy/await.go
@@ -12,7 +12,12 @@
 )
 
 const (
+	// The delay between lookups starts at initialLookupDelay and doubles up to maxLookupDelay.
 	initialLookupDelay = 30 * time.Millisecond
+	maxLookupDelay     = time.Second
+	// orphanLookupTime is how long lookups go on after the client has gone: a client that
+	// closed only its sending half still gets the outcome.
+	orphanLookupTime = 2 * time.Second
 	// lookupTimeDivisor: lookups take at most this fraction of the remaining time and
 	// of the route's target latency.
 	lookupTimeDivisor = 2
@@ -23,11 +28,19 @@
 // awaitOutcome polls for the outcome of the attempt that holds the key, and answers that
 // the operation is still in progress if there is none in time. It sends nothing to a
 // server.
-func (a *keyedAttempt) awaitOutcome(context.Context, endpoint.Endpoint) (any, error) {
+func (a *keyedAttempt) awaitOutcome(ctx context.Context, _ endpoint.Endpoint) (any, error) {
 	remaining := time.Until(a.request.deadline) - lookupTimeout
 	lookupDeadline := time.Now().Add(min(remaining, a.request.route.TargetLatency.Std()) / lookupTimeDivisor)
-	for delay := initialLookupDelay; time.Now().Add(delay).Before(lookupDeadline); delay *= 2 {
-		a.clock.Sleep(delay)
+	clientGone := ctx.Done()
+	for delay := initialLookupDelay; time.Now().Add(delay).Before(lookupDeadline); delay = min(2*delay, maxLookupDelay) {
+		select {
+		case <-time.After(delay):
+		case <-clientGone:
+			clientGone = nil
+			if orphanDeadline := time.Now().Add(orphanLookupTime); orphanDeadline.Before(lookupDeadline) {
+				lookupDeadline = orphanDeadline
+			}
+		}
 		if recorded := a.lookup(); recorded != nil && recorded.Response != nil {
 			if recorded.RequestHash != a.intent.RequestHash {
 				return nil, apierror.New(apierror.KeyConflict, "")
