--- a/internal/config/routing_table.go
+++ b/internal/config/routing_table.go
@@ -5,6 +5,7 @@
 	"sort"
 	"strings"
 
+	"ploverhitch/internal/hostname"
 	"ploverhitch/internal/mirror"
 	"ploverhitch/internal/shedding"
 )
@@ -77,9 +78,9 @@
 	Order *shedding.Order
 }
 
-// Compile builds the routing table of the set. If two concurrent updates created routes
-// with the same host and prefix, the higher version wins, then the greater name, so that
-// all nodes agree.
+// Compile builds the routing table of the set. If the set holds two routes with the same host and
+// prefix, as older builds acknowledged them, the lower version keeps the place, then the lesser name,
+// so that all nodes agree.
 func (s ItemSet) Compile() *RoutingTable {
 	table := &RoutingTable{Services: map[string]ServiceSpec{}, routes: map[string]map[string]*Route{}, priorities: map[string]int{}, Plan: s.Plan()}
 	table.Limits = LimitsSpec{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20}
@@ -141,10 +142,13 @@
 }
 
 func (t *RoutingTable) addRoute(item Item) {
-	route := &Route{Host: strings.ToLower(item.Host)}
+	route := &Route{Host: hostname.Normalize(item.Host)}
 	if json.Unmarshal(item.Body, &route.RouteSpec) != nil {
 		return
 	}
+	if t.routes[route.Host][route.PathPrefix] != nil {
+		return
+	}
 	route.shares = trafficShares(route.TrafficSplit)
 	if route.MaxAttempts < 1 {
 		route.MaxAttempts = 1
@@ -167,11 +171,11 @@
 
 // Find returns the route of the host with the longest prefix of the path, or nil.
 func (t *RoutingTable) Find(host, path string) *Route {
-	routes := t.routes[strings.ToLower(host)]
+	host = hostname.Normalize(host)
+	routes := t.routes[host]
 	if routes == nil {
-		if hostname, _, hasPort := strings.Cut(host, ":"); hasPort {
-			routes = t.routes[strings.ToLower(hostname)]
-		}
+		name, _ := hostname.CutPort(host)
+		routes = t.routes[name]
 	}
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
 		if route := routes[path[:end+1]]; route != nil {
--- a/internal/config/spec.go
+++ b/internal/config/spec.go
@@ -1,12 +1,10 @@
 package config
 
 import (
-	"encoding/json"
 	"strings"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
-	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/bounded"
 	"ploverhitch/internal/clock"
 )
@@ -117,45 +115,3 @@
 	}
 	return out
 }
-
-// Check validates the routes of the set: every route delivers to known services, and no
-// two routes share host and prefix. The error names the item.
-func (s ItemSet) Check() error { return s.CheckRoutes(s.Items()) }
-
-// CheckRoutes validates the routes among the items against the set's services and against
-// each other.
-func (s ItemSet) CheckRoutes(items []Item) error {
-	names := map[string]string{}
-	for _, item := range items {
-		if item.ID.Class != RouteItem || item.Removed {
-			continue
-		}
-		var route RouteSpec
-		if err := json.Unmarshal(item.Body, &route); err != nil {
-			return apierror.New(apierror.InvalidConfiguration, "route "+item.ID.Name+": "+err.Error())
-		}
-		for _, name := range route.Services() {
-			if service, found := s[ID{ServiceItem, name}]; !found || service.Removed {
-				return apierror.New(apierror.InvalidConfiguration, "route "+route.Name+" names the unknown service "+name)
-			}
-		}
-		location := item.Host + route.PathPrefix
-		if other, taken := names[location]; taken {
-			return apierror.New(apierror.InvalidConfiguration, "routes "+other+" and "+route.Name+" share host and prefix")
-		}
-		names[location] = route.Name
-	}
-	return nil
-}
-
-// ValidateUpdate validates an operator's request: both the set that it results in and the
-// request by itself, whose routes must be valid even if the set holds higher versions. It
-// returns the items that have an effect, and the resulting set.
-func (s ItemSet) ValidateUpdate(items []Item) (newer []Item, merged ItemSet, err error) {
-	newer, merged = s.Newer(items), s.Clone()
-	merged.Merge(newer)
-	if err = merged.Check(); err == nil {
-		err = merged.CheckRoutes(items)
-	}
-	return newer, merged, err
-}
--- a/internal/control/registry/initial_set.go
+++ b/internal/control/registry/initial_set.go
@@ -23,15 +23,15 @@
 }
 
 // duplicateRoutes returns the routes whose host and prefix belong to another route:
-// the one with the higher version, then with the greater name, as in config.Compile.
+// the one with the higher version, then with the greater name.
 func duplicateRoutes(itemSet config.ItemSet) (duplicates []config.Item) {
-	owners := map[string]config.Item{}
+	owners := map[config.Location]config.Item{}
 	for _, item := range itemSet.Items() {
 		var route config.RouteSpec
 		if item.ID.Class != config.RouteItem || item.Removed || json.Unmarshal(item.Body, &route) != nil {
 			continue
 		}
-		location := item.Host + route.PathPrefix
+		location := config.LocationOf(item.Host, &route)
 		owner, taken := owners[location]
 		switch {
 		case !taken:
--- a/internal/control/round_draft.go
+++ b/internal/control/round_draft.go
@@ -73,7 +73,7 @@
 // checkProposal validates the configuration that a proposal would produce, and the
 // proposal's own items.
 func (n *node) checkProposal(configuration config.ItemSet, newer, unseen []config.Item) error {
-	if err := configuration.Check(); err != nil {
+	if err := configuration.CheckChange(newer); err != nil {
 		return err
 	}
 	if err := configuration.CheckRoutes(unseen); err != nil {
--- a/internal/inspect/check.go
+++ b/internal/inspect/check.go
@@ -48,6 +48,11 @@
 	_, updated, err := itemSet.ValidateUpdate(sent)
 	if err != nil {
 		find("invalid", "manifest", "%s", err)
+	} else {
+		// Older builds acknowledged sets that are invalid by the present rules.
+		for _, problem := range updated.Problems() {
+			find("invalid", "manifest", "%s", problem.Text)
+		}
 	}
 	ready, slots := map[string]int{}, map[string]int{}
 	for _, server := range fleet.Servers {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -7,12 +7,12 @@
 	"hash/fnv"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/juju/errors"
 
+	"ploverhitch/internal/hostname"
 	"ploverhitch/internal/shedding"
 )
 
@@ -59,7 +59,7 @@
 // Covers reports whether the mirror copies requests of a route.
 func (m Mirror) Covers(route Route) bool {
 	return slices.Contains(m.Routes, route.Name) ||
-		slices.ContainsFunc(m.Hosts, func(host string) bool { return strings.EqualFold(host, route.Host) })
+		slices.ContainsFunc(m.Hosts, func(host string) bool { return hostname.Equal(host, route.Host) })
 }
 
 // CheckAll validates the mirrors that have not ended against the existing routes and
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, host := range m.Hosts {
-		if !slices.ContainsFunc(routes, func(route Route) bool { return strings.EqualFold(route.Host, host) }) {
+		if !slices.ContainsFunc(routes, func(route Route) bool { return hostname.Equal(route.Host, host) }) {
 			return errors.NotFoundf("mirror %s: host %s", m.Name, host)
 		}
 	}
--- a/internal/shedding/order.go
+++ b/internal/shedding/order.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 )
 
 // Tier is a position in the order of load shedding. Tier 0 is rejected last.
@@ -107,6 +106,3 @@
 
 // Tiers returns the tiers, starting with the one that is rejected last.
 func (o *Order) Tiers() []TierInfo { return o.tiers }
-
-// sameHost compares two host names without regard to case.
-func sameHost(a, b string) bool { return strings.EqualFold(a, b) }
--- a/internal/shedding/plan.go
+++ b/internal/shedding/plan.go
@@ -6,6 +6,8 @@
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/juju/errors"
+
+	"ploverhitch/internal/hostname"
 )
 
 // PlanTier is a tier of an operator's plan: tenants, named by their hosts, or single
@@ -50,10 +52,10 @@
 		}
 		names[tier.Name], orders[tier.Order] = true, tier.Name
 		for _, host := range tier.Hosts {
-			if !slices.ContainsFunc(routes, func(route Route) bool { return sameHost(route.Host, host) }) {
+			if !slices.ContainsFunc(routes, func(route Route) bool { return hostname.Equal(route.Host, host) }) {
 				return errors.NotFoundf("plan %s: host %s of tier %s", p.Name, host, tier.Name)
 			}
-			if err := assign("host "+host, tier.Name); err != nil {
+			if err := assign("host "+hostname.Normalize(host), tier.Name); err != nil {
 				return err
 			}
 		}
@@ -95,7 +97,7 @@
 		}
 	}
 	for _, tier := range p.Tiers {
-		if slices.ContainsFunc(tier.Hosts, func(host string) bool { return sameHost(host, route.Host) }) {
+		if slices.ContainsFunc(tier.Hosts, func(host string) bool { return hostname.Equal(host, route.Host) }) {
 			return tier.Order
 		}
 	}
