--- a/internal/control/call.go
+++ b/internal/control/call.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"ploverhitch/internal/apierror"
+	"ploverhitch/internal/codec"
 	"ploverhitch/internal/membership"
 	"ploverhitch/internal/messages"
 	"ploverhitch/internal/rpc"
@@ -18,6 +18,9 @@
 	connection := n.connections[address]
 	if connection == nil {
 		connection = rpc.NewClient(address, connectTimeout, silenceTimeout)
+		connection.OnReject = func(err *rpc.RejectedError) {
+			n.log("error", "a node rejected a call", "node", address, "count", n.rejectedCalls.Add(1), "error", err)
+		}
 		n.connections[address] = connection
 	}
 	return connection
@@ -39,13 +42,19 @@
 	if !known {
 		return errors.NotImplementedf("handler for calls of kind %d", kind)
 	}
-	body, err := cbor.Marshal(request)
+	body, err := codec.Marshal(request)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	replies := make(chan []byte, 1)
-	handle(rpc.Call{Body: body, Reply: func(reply any) bool {
-		data, err := cbor.Marshal(reply)
+	replies, rejections := make(chan []byte, 1), make(chan rpc.Rejection, 1)
+	reject := func(rejection rpc.Rejection) {
+		select {
+		case rejections <- rejection:
+		default:
+		}
+	}
+	handle(rpc.Call{Kind: kind, Body: body, SendRejection: reject, Reply: func(reply any) bool {
+		data, err := codec.Marshal(reply)
 		if err != nil {
 			return false
 		}
@@ -64,6 +73,8 @@
 			return nil
 		}
 		return rpc.Decode(data, result)
+	case rejection := <-rejections:
+		return &rpc.RejectedError{Kind: kind, Bytes: len(body), Rejection: rejection}
 	case <-timer.C:
 		return errors.Timeoutf("call to this node")
 	}
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -15,53 +15,62 @@
 func (n *node) newHandlers() rpc.Handlers {
 	return rpc.Handlers{
 		feed.KindFollow:              n.hub.Handle,
-		messages.KindReserve:         typedHandler(n.onReserve),
-		messages.KindRecord:          typedHandler(n.onRecord),
-		messages.KindLookup:          typedHandler(n.onLookup),
-		messages.KindPrepare:         typedHandler(n.onPrepare),
-		messages.KindAccept:          typedHandler(n.onAccept),
-		messages.KindLearn:           typedHandler(n.onLearn),
-		messages.KindReplicaState:    typedHandler(n.onState),
-		messages.KindCatchUp:         typedHandler(n.onCatchUp),
-		messages.KindPropose:         typedHandler(n.onPropose),
-		messages.KindOfferItems:      typedHandler(n.onOffer),
-		messages.KindProposal:        typedHandler(n.onProposal),
-		messages.KindHeartbeat:       typedHandler(n.onHeartbeat),
-		messages.KindClaim:           typedHandler(n.onClaim),
-		messages.KindFleet:           typedHandler(n.onFleet),
-		messages.KindMemberState:     typedHandler(n.onMemberState),
-		messages.KindDigests:         typedHandler(n.onDigests),
-		messages.KindSummaries:       typedHandler(n.onSummaries),
-		messages.KindEntries:         typedHandler(n.onEntries),
-		messages.KindLeave:           typedHandler(n.onLeave),
-		messages.KindView:            typedHandler(n.onView),
-		messages.KindJoin:            typedHandler(n.onJoin),
-		messages.KindWriteRollout:    typedHandler(n.onRollout),
-		messages.KindReadRollouts:    typedHandler(n.onRollouts),
-		messages.KindStartRollout:    typedHandler(n.onStartRollout),
-		messages.KindProxyReport:     typedHandler(n.onReport),
-		messages.KindStagedChange:    typedHandler(n.onStagedChange),
-		messages.KindRolloutEvidence: typedHandler(n.onEvidence),
-		messages.KindRenew:           typedHandler(n.onRenew),
-		messages.KindRelease:         typedHandler(n.onRelease),
-		messages.KindContact:         typedHandler(n.onContact),
-		messages.KindLeavingServers:  typedHandler(n.onLeaving),
-		messages.KindListProgress:    typedHandler(n.onListProgress),
+		messages.KindReserve:         typedHandler(n, n.onReserve),
+		messages.KindRecord:          typedHandler(n, n.onRecord),
+		messages.KindLookup:          typedHandler(n, n.onLookup),
+		messages.KindPrepare:         typedHandler(n, n.onPrepare),
+		messages.KindAccept:          typedHandler(n, n.onAccept),
+		messages.KindLearn:           typedHandler(n, n.onLearn),
+		messages.KindReplicaState:    typedHandler(n, n.onState),
+		messages.KindCatchUp:         typedHandler(n, n.onCatchUp),
+		messages.KindPropose:         typedHandler(n, n.onPropose),
+		messages.KindOfferItems:      typedHandler(n, n.onOffer),
+		messages.KindProposal:        typedHandler(n, n.onProposal),
+		messages.KindHeartbeat:       typedHandler(n, n.onHeartbeat),
+		messages.KindClaim:           typedHandler(n, n.onClaim),
+		messages.KindFleet:           typedHandler(n, n.onFleet),
+		messages.KindMemberState:     typedHandler(n, n.onMemberState),
+		messages.KindDigests:         typedHandler(n, n.onDigests),
+		messages.KindSummaries:       typedHandler(n, n.onSummaries),
+		messages.KindEntries:         typedHandler(n, n.onEntries),
+		messages.KindLeave:           typedHandler(n, n.onLeave),
+		messages.KindView:            typedHandler(n, n.onView),
+		messages.KindJoin:            typedHandler(n, n.onJoin),
+		messages.KindWriteRollout:    typedHandler(n, n.onRollout),
+		messages.KindReadRollouts:    typedHandler(n, n.onRollouts),
+		messages.KindStartRollout:    typedHandler(n, n.onStartRollout),
+		messages.KindProxyReport:     typedHandler(n, n.onReport),
+		messages.KindStagedChange:    typedHandler(n, n.onStagedChange),
+		messages.KindRolloutEvidence: typedHandler(n, n.onEvidence),
+		messages.KindRenew:           typedHandler(n, n.onRenew),
+		messages.KindRelease:         typedHandler(n, n.onRelease),
+		messages.KindContact:         typedHandler(n, n.onContact),
+		messages.KindLeavingServers:  typedHandler(n, n.onLeaving),
+		messages.KindListProgress:    typedHandler(n, n.onListProgress),
 	}
 }
 
 // typedHandler decodes the call's body as T and passes it to handle with a function
-// that sends the reply.
-func typedHandler[T, R any](handle func(in T, reply func(R))) func(rpc.Call) {
+// that sends the reply. A body that cannot be decoded is rejected.
+func typedHandler[T, R any](n *node, handle func(in T, reply func(R))) func(rpc.Call) {
 	return func(call rpc.Call) {
 		var in T
-		if len(call.Body) > 0 && rpc.Decode(call.Body, &in) != nil {
-			return
+		if len(call.Body) > 0 {
+			if err := rpc.Decode(call.Body, &in); err != nil {
+				n.rejectUndecodable(call, err)
+				return
+			}
 		}
 		handle(in, func(out R) { call.Reply(out) })
 	}
 }
 
+// rejectUndecodable counts, logs and rejects a call whose body cannot be decoded.
+func (n *node) rejectUndecodable(call rpc.Call, err error) {
+	n.log("error", "a call cannot be decoded and is rejected", "kind", call.Kind, "bytes", len(call.Body), "count", n.undecodableCalls.Add(1), "error", err)
+	call.Reject(rpc.Undecodable)
+}
+
 func (n *node) onReserve(in messages.Reserve, reply func(messages.Vote)) {
 	var vote messages.Vote
 	n.store.enqueue(func(t *tables) []record {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -58,6 +58,9 @@
 	// handlingOffer ensures that offers of several agents are handled one at a time.
 	handlingOffer atomic.Bool
 	viewRound     atomic.Uint64
+	// undecodableCalls counts calls that this node could not decode, rejectedCalls its calls
+	// that other nodes rejected.
+	undecodableCalls, rejectedCalls atomic.Uint64
 	// rolloutStarts holds the start time of each rollout.
 	rolloutStarts sync.Map
 	coordinator   *coordinator
--- a/internal/control/quorum_contact_test.go
+++ b/internal/control/quorum_contact_test.go
@@ -71,7 +71,7 @@
 		n := newTestMember(manualClock, membership.View{Epoch: 1, Members: []string{"a"}})
 		other := httptest.NewUnstartedServer(nil)
 		address := other.Listener.Addr().String()
-		go rpc.Serve(other.Listener, rpc.Handlers{messages.KindContact: typedHandler(func(in messages.Contact, answer func(messages.ContactResponse)) {
+		go rpc.Serve(other.Listener, rpc.Handlers{messages.KindContact: typedHandler(n, func(in messages.Contact, answer func(messages.ContactResponse)) {
 			answer(messages.ContactResponse{OK: in.Epoch == 2})
 		})}, time.Second)
 		DeferCleanup(other.Listener.Close)
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -9,10 +9,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"ploverhitch/internal/clock"
+	"ploverhitch/internal/codec"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/storage"
 )
@@ -45,7 +45,7 @@
 	s := &store{loop: clock.NewLoop[command](4096), tables: newTables(policy), clock: timeSource, reportError: reportError}
 	log, err := storage.Open(disk, func(data []byte) error {
 		var r record
-		if err := cbor.Unmarshal(data, &r); err != nil {
+		if err := codec.Unmarshal(data, &r); err != nil {
 			return errors.Annotate(err, "cannot decode a log record")
 		}
 		s.tables.apply(r)
@@ -128,7 +128,7 @@
 }
 
 func (s *store) stage(r record) {
-	data, err := cbor.Marshal(r)
+	data, err := codec.Marshal(r)
 	if err != nil {
 		s.reportError(err)
 		return
@@ -194,7 +194,7 @@
 	records := s.tables.snapshot()
 	encoded := func(yield func([]byte) bool) {
 		for r := range records {
-			if data, err := cbor.Marshal(r); err == nil && !yield(data) {
+			if data, err := codec.Marshal(r); err == nil && !yield(data) {
 				return
 			}
 		}
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -6,8 +6,7 @@
 import (
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"ploverhitch/internal/codec"
 	"ploverhitch/internal/config"
 	"ploverhitch/internal/membership"
 )
@@ -39,7 +38,7 @@
 	if u.encoded != nil {
 		return u.encoded, nil
 	}
-	return cbor.Marshal(plainUpdate(u))
+	return codec.Marshal(plainUpdate(u))
 }
 
 // Encoded returns the encoding that all subscribers share, or nil.
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -39,8 +39,8 @@
 		var first sync.Once
 		cancels = append(cancels, call(p.connection(member), kind, body, func(encoded []byte, err error) {
 			answer := memberReply[T]{member: member}
-			if out := new(T); err == nil && rpc.Decode(encoded, out) == nil {
-				answer.reply = out
+			if err == nil {
+				answer.reply = decodeReply[T](p, member, kind, encoded)
 			}
 			first.Do(func() { received <- answer })
 		}))
@@ -51,3 +51,14 @@
 		}
 	}
 }
+
+// decodeReply decodes a member's reply. One that cannot be decoded is counted and logged, and
+// counts as no reply.
+func decodeReply[T any](p *proxy, member string, kind rpc.Kind, encoded []byte) *T {
+	out := new(T)
+	if err := rpc.Decode(encoded, out); err != nil {
+		p.log("error", "a reply of a control node cannot be decoded", "node", member, "kind", kind, "bytes", len(encoded), "count", p.undecodableReplies.Add(1), "error", err)
+		return nil
+	}
+	return out
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -83,6 +83,9 @@
 	recentIntents     recentIntents
 	incarnation       string
 	attemptCount      atomic.Uint64
+	// rejectedCalls counts calls that control nodes rejected, undecodableReplies their replies
+	// that could not be decoded.
+	rejectedCalls, undecodableReplies atomic.Uint64
 	// inbound and outbound track the two directions of the machine's network link.
 	inbound, outbound *bandwidth.Pacer
 	downloads         *bandwidth.BulkLimiter
@@ -221,30 +224,3 @@
 	s := p.snapshot.Load()
 	return s.complete && s.routingTable.RouteCount > 0 && s.balancer.Size() > 0 && !p.draining.Load()
 }
-
-// connection returns the connection to a control node, created on first use.
-func (p *proxy) connection(address string) *rpc.Client {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conn := p.connections[address]
-	if conn == nil {
-		conn = rpc.NewClient(address, controlConnectTimeout, controlSilenceTimeout)
-		conn.OnReconnect, conn.OnSend = func() { p.resendRecent(conn) }, p.outbound.CountShort
-		p.connections[address] = conn
-	}
-	return conn
-}
-
-// retryBudget returns the service's retry budget, created on first use.
-func (p *proxy) retryBudget(service string) *balancer.RetryBudget {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	budget := p.retryBudgets[service]
-	if budget == nil {
-		bounds := p.settings.Load().Platform.Bounds
-		floor := func() float64 { return balancer.SlackPerProxy(int(bounds.RetrySlack), p.snapshot.Load().proxyCount) }
-		budget = balancer.NewRetryBudget(bounds.RetryBudgetRatio, bounds.RetryWindow.Std(), floor, p.clock)
-		p.retryBudgets[service] = budget
-	}
-	return budget
-}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -25,6 +25,8 @@
 	Address string
 	// OnReconnect, if set, is called each time the connection is re-established.
 	OnReconnect func()
+	// OnReject, if set, is called for each call that the callee rejects.
+	OnReject func(*RejectedError)
 	// OnSend, if set, is called with the size of each call in bytes.
 	OnSend          func(bytes int)
 	connectedBefore bool
@@ -47,6 +49,7 @@
 // pendingCall is a call that waits for its replies, which have the same kind.
 type pendingCall struct {
 	kind   Kind
+	bytes  int
 	handle func([]byte, error)
 }
 
@@ -96,7 +99,7 @@
 		c.pending = map[uint64]pendingCall{}
 	}
 	if handle != nil {
-		c.pending[number] = pendingCall{kind, handle}
+		c.pending[number] = pendingCall{kind, out.size(), handle}
 	}
 	reject := func() {
 		if delete(c.pending, number); handle != nil {
@@ -196,6 +199,10 @@
 			// The reply matches no call of this client: later frames can't be trusted either.
 			break
 		}
+		if f.Rejection != 0 {
+			c.rejected(&RejectedError{Kind: call.kind, Bytes: call.bytes, Rejection: f.Rejection}, call.handle)
+			continue
+		}
 		call.handle(f.Body, nil)
 	}
 	_ = conn.Close()
@@ -207,3 +214,10 @@
 	}
 	c.failPending()
 }
+
+func (c *Client) rejected(err *RejectedError, handle func([]byte, error)) {
+	if c.OnReject != nil {
+		c.OnReject(err)
+	}
+	handle(nil, err)
+}
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"ploverhitch/internal/bounded"
+	"ploverhitch/internal/codec"
 )
 
 // Kind identifies the type of a call.
@@ -26,6 +27,9 @@
 	Number uint64          `cbor:"1,keyasint"`
 	Kind   Kind            `cbor:"2,keyasint"`
 	Body   cbor.RawMessage `cbor:"3,keyasint,omitempty"`
+	// Rejection is set in place of a reply that will not come. Older builds ignore it and find
+	// no body.
+	Rejection Rejection `cbor:"4,keyasint,omitempty"`
 }
 
 const maxFrameBytes = 64 << 20
@@ -43,7 +47,7 @@
 	if err != nil {
 		return f, err
 	}
-	return f, cbor.Unmarshal(data, &f)
+	return f, codec.Unmarshal(data, &f)
 }
 
 // Packed is a body that is already encoded, so that frames to many peers share it.
@@ -59,6 +63,15 @@
 
 func (f *outgoingFrame) size() int { return len(f.header) + len(f.body) }
 
+// encodeRejection returns the frame that rejects a call.
+func encodeRejection(number uint64, kind Kind, rejection Rejection) (*outgoingFrame, error) {
+	data, err := codec.Marshal(frame{Number: number, Kind: kind, Rejection: rejection})
+	if err != nil {
+		return nil, err
+	}
+	return &outgoingFrame{header: append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)}, nil
+}
+
 func encodeFrame(number uint64, kind Kind, body any) (*outgoingFrame, error) {
 	f := frame{Number: number, Kind: kind}
 	var shared []byte
@@ -66,13 +79,13 @@
 		shared = packed.Packed()
 	}
 	if body != nil && shared == nil {
-		data, err := cbor.Marshal(body)
+		data, err := codec.Marshal(body)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
 		shared = data
 	}
-	data, err := cbor.Marshal(f)
+	data, err := codec.Marshal(f)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -90,7 +103,7 @@
 const bodyKey = 3
 
 // Decode decodes the body of a frame into out.
-func Decode(body []byte, out any) error { return errors.Trace(cbor.Unmarshal(body, out)) }
+func Decode(body []byte, out any) error { return codec.Unmarshal(body, out) }
 
 // Dial connects to address. The connection fails if the peer is silent for the silence
 // timeout: a failed machine sends no reset, so keepalives and TCP_USER_TIMEOUT have to
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -12,12 +12,22 @@
 // Call is an incoming call. Reply may be called from any goroutine, and more than once
 // for a subscription; it reports whether the connection still accepts replies.
 type Call struct {
+	Kind  Kind
 	Body  []byte
 	Reply func(body any) bool
+	// SendRejection, if set, tells the caller that there will be no reply. Handlers use Reject.
+	SendRejection func(Rejection)
 	// Closed is closed when the caller's connection ends.
 	Closed <-chan struct{}
 }
 
+// Reject tells the caller at once that the call has no effect and gets no reply.
+func (c Call) Reject(rejection Rejection) {
+	if c.SendRejection != nil {
+		c.SendRejection(rejection)
+	}
+}
+
 // Handlers maps the kind of a call to its handler. A handler must not block: it passes
 // the call to the event loop that owns the data.
 type Handlers map[Kind]func(Call)
@@ -67,9 +77,15 @@
 			return
 		}
 		number, kind := f.Number, f.Kind
-		handle(Call{Body: f.Body, Closed: closed, Reply: func(body any) bool {
+		reply := func(body any) bool {
 			response, err := encodeFrame(number, kind, body)
 			return err == nil && outbox.enqueue(conn, response)
-		}})
+		}
+		reject := func(rejection Rejection) {
+			if response, err := encodeRejection(number, kind, rejection); err == nil {
+				outbox.enqueue(conn, response)
+			}
+		}
+		handle(Call{Kind: kind, Body: f.Body, Closed: closed, Reply: reply, SendRejection: reject})
 	}
 }
