--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -40,6 +40,10 @@
 	if c, ok := conn.(*clientConn); ok {
 		c.state.Store(int32(state))
 		c.headerPending.Store(false)
+		if state == http.StateIdle {
+			// The deadline of the last response does not hold for the next one.
+			_ = conn.SetWriteDeadline(time.Time{})
+		}
 	}
 }
 
--- a/internal/standin/meter.go
+++ b/internal/standin/meter.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -151,3 +153,21 @@
 	defer s.lock.Unlock()
 	return or(s.by, s.ID)
 }
+
+// Writing returns the number of answers that the server is writing.
+//
+// Example:
+//
+//	busy := server.Writing() > 0
+func (s *Server) Writing() int { return int(s.writing.Load()) }
+
+// writeAnswer writes a whole answer and counts it meanwhile.
+func (s *Server) writeAnswer(conn net.Conn, id, seal, body string) {
+	s.writing.Add(1)
+	defer s.writing.Add(-1)
+	write(conn, "200 OK", id, seal, body)
+}
+
+func write(conn net.Conn, status, id, more, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, more, len(body), body)
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,6 +61,8 @@
 	by string
 	// long is by how much its bodies are longer.
 	long int
+	// writing is the number of answers that are being written.
+	writing atomic.Int64
 }
 
 // NewServer starts a server on an address; port 0 takes a free one.
@@ -173,10 +176,6 @@
 	return act, s.held
 }
 
-func write(conn net.Conn, status, id, more, body string) {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, more, len(body), body)
-}
-
 func (s *Server) serve(conn net.Conn) {
 	defer func() {
 		_ = conn.Close()
@@ -241,7 +240,7 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n", id, seal, len(body))
 			continue
 		}
-		write(conn, "200 OK", id, seal, body)
+		s.writeAnswer(conn, id, seal, body)
 		if act == SurplusAfter {
 			write(conn, "200 OK", "of-another", "Ploverhitch-Server-Seal: stray\r\n", "stray")
 		}
