A body that does not come in time gets 408, which clients try again after

Cause: all errors of reading a body counted as malformed requests. Change: a missed deadline is the new kind RequestTimeout, 408 with a closed connection.

--- a/internal/apierror/kinds.go
+++ b/internal/apierror/kinds.go
@@ -33,6 +33,8 @@
 	// VersionConflict means that this version of an item was already accepted with
 	// different content.
 	VersionConflict
+	// RequestTimeout means that the request did not arrive completely in time.
+	RequestTimeout
 )
 
 // Response is the HTTP response for an error kind.
@@ -49,6 +51,7 @@
 }
 
 var responses = map[Kind]Response{
+	RequestTimeout:          {Status: 408, Reason: "the request did not arrive completely in time", NotExecuted: true, Close: true},
 	MalformedRequest:        {Status: 400, Reason: "the request is malformed", Close: true},
 	NoRoute:                 {Status: 404, Reason: "no route matches"},
 	BodyTooLarge:            {Status: 413, Reason: "the body is too large", Close: true},
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -137,10 +137,7 @@
 	go p.follower.Run(runCtx)
 	go p.reportPeriodically(runCtx)
 	p.startMirrorWorkers(runCtx)
-	server := &http.Server{
-		Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: recordConnState,
-	}
+	server := p.newClientServer()
 	go func() {
 		_ = (&http.Server{Handler: http.HandlerFunc(p.handleReady), ReadHeaderTimeout: defaultHeaderTimeout}).Serve(readinessListener)
 	}()
@@ -154,6 +151,14 @@
 	return p.shutDown(server)
 }
 
+// newClientServer returns the HTTP server for clients.
+func (p *proxy) newClientServer() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: recordConnState,
+	}
+}
+
 func newProxy(cfg *settings.Settings, timeSource clock.Clock, log LogFunc) *proxy {
 	p := &proxy{
 		clock: timeSource, log: log, updateLoop: clock.NewLoop[feed.Update](256), replica: feed.NewReplica(),
--- /dev/null
+++ b/internal/proxy/read_request_test.go
@@ -0,0 +1,66 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"ploverhitch/internal/balancer"
+	"ploverhitch/internal/config"
+	"ploverhitch/internal/feed"
+	"ploverhitch/internal/standin"
+)
+
+var _ = Describe("a request as it comes from a client", func() {
+	var server *standin.Server
+	var address string
+	BeforeEach(func() {
+		var err error
+		server, err = standin.NewServer("i-1", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		p, _ := newTestRequest(config.Safe, server)
+		items := config.ItemSet{}
+		items.Merge([]config.Item{
+			{ID: config.ID{Class: config.ServiceItem, Name: "s"}, Version: 1, Body: []byte(`{"Name":"s","Revision":"r1"}`)},
+			{ID: config.ID{Class: config.RouteItem, Name: "r"}, Version: 1, Host: "h.example", Body: []byte(`{"Name":"r","PathPrefix":"/a/","RouteType":"unsafe","Timeout":"300ms","Service":"s","Revision":"r1"}`)},
+		})
+		fleet := feed.Fleet{Servers: []feed.Server{{ID: "i-1", Service: "s", Address: server.Address(), Capacity: 4, IsReady: true}}}
+		p.snapshot.Store(&snapshot{routingTable: items.Compile(), balancer: balancer.NewServerSet(balancer.Locality{Node: "n"}).WithFleet(fleet), proxyCount: 1, complete: true})
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = listener.Addr().String()
+		front := p.newClientServer()
+		go func() { _ = front.Serve(listener) }()
+		DeferCleanup(front.Close)
+	})
+	// exchange sends the text on a new connection and returns the answer.
+	exchange := func(text string) (*http.Response, string) {
+		GinkgoHelper()
+		conn, err := net.Dial("tcp4", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = io.WriteString(conn, text)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return response, string(body)
+	}
+	const headers = "Host: h.example\r\nPloverhitch-Attempt-Id: t1\r\n"
+
+	// Guards against a 400, which clients do not try again, for a body that comes slower than the route's Timeout.
+	It("gets 408, which says that it never ran, if its body does not come in time", func() {
+		response, _ := exchange("POST /a/b HTTP/1.1\r\n" + headers + "Content-Length: 10\r\n\r\nhalf")
+		Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+		Expect(response.Close).To(BeTrue())
+		Expect(server.Runs()).To(BeEmpty())
+	})
+})
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -142,6 +143,9 @@
 		if errors.As(err, &tooLarge) {
 			return nil, apierror.New(apierror.BodyTooLarge, "")
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, apierror.New(apierror.RequestTimeout, "")
+		}
 		return nil, apierror.New(apierror.MalformedRequest, "cannot read the request body")
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
