Targets in absolute form are served, and no 200 of our own answers OPTIONS *

Found by the new test: "OPTIONS *" got a 200 without a server's seal.

Cause: only targets that begin with a slash were taken; net/http's own OPTIONS handler was on. Change: path and query behind the host are routed, hashed and sent as they are; the handler is off.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -151,11 +151,12 @@
 	return p.shutDown(server)
 }
 
-// newClientServer returns the HTTP server for clients.
+// newClientServer returns the HTTP server for clients. It answers no request by itself that it can parse:
+// also "OPTIONS *" goes to the handler.
 func (p *proxy) newClientServer() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(p.handle), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: recordConnState,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: recordConnState, DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/internal/proxy/read_request_test.go
+++ b/internal/proxy/read_request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -63,4 +64,29 @@
 		Expect(response.Close).To(BeTrue())
 		Expect(server.Runs()).To(BeEmpty())
 	})
+
+	// Guards against a 400 for a target in absolute form, which RFC 9112 (3.2.2) has every server accept.
+	DescribeTable("is served with a target in absolute form", func(target, expected string) {
+		response, _ := exchange(fmt.Sprintf("GET %s HTTP/1.1\r\n%s\r\n", target, headers))
+		Expect(response.StatusCode).To(Equal(200))
+		Expect(server.Runs()[0].Target).To(Equal(expected))
+	},
+		Entry("path and query", "http://h.example/a/b?c=%2F", "/a/b?c=%2F"),
+		Entry("another case, and a port", "HTTP://H.example:80/a/b", "/a/b"),
+		Entry("an escaped path", "http://h.example/a/%7Eb/../c", "/a/%7Eb/../c"),
+		Entry("a question mark in the query", "https://h.example/a/?x=/?y", "/a/?x=/?y"),
+	)
+
+	It("is refused with a target that is no path", func() {
+		for _, target := range []string{"*", "ftp://h.example/a/b", "h.example/a/b"} {
+			response, _ := exchange(fmt.Sprintf("OPTIONS %s HTTP/1.1\r\n%s\r\n", target, headers))
+			Expect(response.StatusCode).To(Equal(http.StatusBadRequest), target)
+		}
+		Expect(server.Runs()).To(BeEmpty())
+	})
+
+	It("with a target in absolute form goes by the target's host, not by the Host header", func() {
+		response, _ := exchange("GET http://other.example/a/b HTTP/1.1\r\n" + headers + "\r\n")
+		Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+	})
 })
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -108,7 +108,8 @@
 func (p *proxy) readRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, error) {
 	req := &clientRequest{arrivedAt: time.Now(), snapshot: p.snapshot.Load(), clientAddress: clientAddress(r)}
 	limits := req.snapshot.routingTable.Limits
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+	target := originForm(r)
+	path, _, _ := strings.Cut(target, "?")
 	attemptIDs := r.Header.Values(upstream.HeaderAttempt)
 	switch {
 	case !strings.HasPrefix(path, "/"):
@@ -150,13 +151,31 @@
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	req.Request = &upstream.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Method: r.Method, Target: target, Host: r.Host, Header: r.Header, Body: body,
 		HasBody: r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead,
 		Attempt: attemptIDs[0],
 	}
 	return req, nil
 }
 
+// originForm returns the path and query of the request's target as the client sent them. A target in
+// absolute form (RFC 9112, 3.2.2) is cut; any other that is not a path is returned as it is.
+func originForm(r *http.Request) string {
+	isAbsolute := (r.URL.Scheme == "http" || r.URL.Scheme == "https") && r.URL.Host != ""
+	if strings.HasPrefix(r.RequestURI, "/") || !isAbsolute {
+		return r.RequestURI
+	}
+	_, rest, _ := strings.Cut(r.RequestURI, "://")
+	start := strings.IndexAny(rest, "/?")
+	switch {
+	case start < 0:
+		return "/"
+	case rest[start] == '?':
+		return "/" + rest[start:]
+	}
+	return rest[start:]
+}
+
 // headerSize returns the size of the request line and header fields in bytes.
 func headerSize(r *http.Request) (size int) {
 	size = len(r.RequestURI) + len(r.Host)
