Test: the intents of a member's specs have a creation time

Cause: "sheds new intents above the cutoff" made intents without a creation time, which count as decades old, and the store's maintenance (every 250 ms of real time) expires and removes them when the spec takes longer. Change: they are created at the manual clock's time. Nothing else in the spec changed.

Evidence: with 0.6 s of sleep put into the spec as a trial it failed before and passed after.

--- a/internal/control/member_test.go
+++ b/internal/control/member_test.go
@@ -44,7 +44,7 @@
 	reserve := func(epoch membership.Epoch, key string) idempotency.Verdict {
 		replies := make(chan messages.Vote, 1)
 		n.onReserve(messages.Reserve{Epoch: epoch, Intent: idempotency.Intent{
-			Key: idempotency.Key{Tenant: "h", Key: key}, Attempt: idempotency.Attempt("of " + key), Route: "fee", Service: "fees", Reservation: key,
+			Key: idempotency.Key{Tenant: "h", Key: key}, Attempt: idempotency.Attempt("of " + key), Route: "fee", Service: "fees", Reservation: key, CreatedMs: manualClock.Wall().UnixMilli(),
 		}}, func(vote messages.Vote) { replies <- vote })
 		return (<-replies).Vote.Verdict
 	}
