A SIGHUP before the settings are read no longer ends the process

Cause: settings.Watch, which catches the signal, starts late; and a change of the file before it was never applied. Change: SIGHUP is caught first of all, and the watch reads and applies the file when it starts.

--- a/cmd/ploverhitch/main.go
+++ b/cmd/ploverhitch/main.go
@@ -45,6 +45,17 @@
 	},
 }
 
+// isProgram reports whether the arguments start a program that runs until it is stopped. It does not wait for
+// the arguments to be parsed, so that a signal in the first milliseconds is caught.
+func isProgram(arguments []string) bool {
+	for _, argument := range arguments {
+		if programs[argument] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // exit prints the error on one line and exits with the status.
 func exit(status int, err error) {
 	fmt.Fprintln(os.Stderr, "ploverhitch:", strings.ReplaceAll(err.Error(), "\n", " "))
@@ -52,6 +63,9 @@
 }
 
 func main() {
+	if isProgram(os.Args[1:]) {
+		settings.CatchHangups()
+	}
 	app := kingpin.New("ploverhitch", "An API gateway that runs each keyed operation at most once.")
 	app.Version(version)
 	app.HelpFlag.Short('h')
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -29,15 +29,19 @@
 // stacks and the kernel's buffers.
 const memoryLimitDivisor = 2
 
+// CatchHangups keeps SIGHUP from ending the process, as it does by default. A program calls it first of
+// all. A signal that comes before Watch needs no memory: Watch reads the file when it starts.
+func CatchHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 // Watch reloads the settings file on SIGHUP and polls it for changes once a second,
-// until ctx is done. It calls onChange with the new settings when the content has
-// changed. An invalid file leaves the current settings in force and its error is
+// until ctx is done. It calls onChange with the settings at its start, since the file may
+// have changed after the process read it, and whenever the content has changed. An invalid file leaves the current settings in force and its error is
 // passed to onError.
 func Watch(ctx context.Context, path string, onChange func(*Settings), onError func(error)) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	lastText, _ := os.ReadFile(path)
+	var lastText []byte
 	reload := func() {
 		text, err := os.ReadFile(path)
 		if err != nil || bytes.Equal(text, lastText) {
@@ -51,6 +55,7 @@
 		}
 		onChange(set)
 	}
+	reload()
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,7 +1,9 @@
 package settings_test
 
 import (
+	"context"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -91,4 +93,21 @@
 		Entry("a retention below the key window", "vote_span: 200ms", "retention: 30s", "tuning.retention"),
 		Entry("an unknown log level", "vote_span: 200ms", "log_level: loud", "tuning.log_level"),
 	)
+
+	// Guards against a change of the file that is never applied because it came between the start of the process and
+	// that of the watch.
+	It("is read again when the watch starts", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
+		Expect(os.WriteFile(path, []byte(settingsFile), 0o600)).To(Succeed())
+		_, err := settings.Read(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(path, []byte(strings.Replace(settingsFile, "200ms", "100ms", 1)), 0o600)).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		changes := make(chan *settings.Settings, 1)
+		go settings.Watch(ctx, path, func(changed *settings.Settings) { changes <- changed }, func(error) {})
+		var changed *settings.Settings
+		Eventually(changes, "3s").Should(Receive(&changed))
+		Expect(changed.Tuning.VoteTimeout.Std()).To(Equal(100 * time.Millisecond))
+	})
 })
