A step of the time of day no longer ages keys

Cause: stamps and ages of intents were the time of day at that moment. Change: both use the time of day at the start of the process plus the steady clock; members stamp votes with the later of the proxy's time and their own, and a record doesn't move it back.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -73,6 +73,8 @@
 
 func (n *node) onReserve(in messages.Reserve, reply func(messages.Vote)) {
 	var vote messages.Vote
+	// The proxy's time of day may be behind: the key's window must not end early because of it.
+	in.Intent.CreatedMs = max(in.Intent.CreatedMs, n.clock.SteadyWall().UnixMilli())
 	n.store.enqueue(func(t *tables) []record {
 		if !t.trusted || in.Epoch != t.view.Epoch || !t.view.Contains(n.self) {
 			vote.Vote.Verdict = idempotency.Refused
@@ -118,7 +120,7 @@
 		holder = after.Attempt
 	}
 	n.log("debug", "record of an attempt other than the holder of the key", "key", reported.Key.Key, "attempt", reported.Attempt,
-		"state", reported.State, "ageMs", n.clock.Wall().UnixMilli()-reported.CreatedMs, "holder", before.Attempt, "holderState", before.State, "holderAfter", holder)
+		"state", reported.State, "ageMs", n.clock.SteadyWall().UnixMilli()-reported.CreatedMs, "holder", before.Attempt, "holderState", before.State, "holderAfter", holder)
 }
 
 func (n *node) onLookup(in messages.Lookup, reply func(messages.LookupResponse)) {
--- a/internal/control/leader_lease_test.go
+++ b/internal/control/leader_lease_test.go
@@ -173,7 +173,8 @@
 type monotonicOnly struct{ clock.Clock }
 
 // Wall panics.
-func (monotonicOnly) Wall() time.Time { panic("the leader lease read the wall clock") }
+func (monotonicOnly) Wall() time.Time       { panic("the leader lease read the wall clock") }
+func (monotonicOnly) SteadyWall() time.Time { panic("the leader lease read the wall clock") }
 
 var _ = Describe("the lease promises of a process that has just started", func() {
 	// granted reports whether a claim of leadership is granted now.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -74,7 +74,7 @@
 				status.Versions[item.ID.Name] = string(text)
 			}
 		}
-		counts, oldest := t.voter.CountByState(n.clock.Wall())
+		counts, oldest := t.voter.CountByState(n.clock.SteadyWall())
 		status.Quota = t.voter.Quota().Usage()
 		status.Intents, status.OldestOpenMs = counts, oldest.Milliseconds()
 		status.Lagging = n.lag.largest(t.view)
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -152,7 +152,7 @@
 }
 
 func (s *store) maintain() {
-	for _, entry := range s.tables.voter.Expire(s.clock.Wall()) {
+	for _, entry := range s.tables.voter.Expire(s.clock.SteadyWall()) {
 		s.stage(record{Entry: &entry})
 	}
 	s.flush()
--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -35,6 +35,10 @@
 			return nil, errors.Trace(err)
 		}
 	}
+	if own != nil {
+		// The owner's time of day may be behind that of the vote.
+		reported.CreatedMs = max(reported.CreatedMs, own.CreatedMs)
+	}
 	entry := &Entry{Intent: reported, Competing: !isHolder && reported.State.IsOpen()}
 	if isHolder {
 		entry.Quota = quotaEventOf(own, reported)
--- a/internal/proxy/idempotency.go
+++ b/internal/proxy/idempotency.go
@@ -63,7 +63,7 @@
 		a.intent = idempotency.Intent{
 			Key: req.key, Attempt: idempotency.Attempt(attemptID), RequestHash: idempotency.HashRequest(req.Method, req.Target, req.Body),
 			Route: req.route.Name, Service: req.service, RouteRevision: uint64(req.route.Revision), Reservation: attemptID,
-			State: idempotency.Reserved, CreatedMs: p.clock.Wall().UnixMilli(),
+			State: idempotency.Reserved, CreatedMs: p.clock.SteadyWall().UnixMilli(),
 		}
 		result := a.reserve()
 		if result != idempotency.Won {
