--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -23,6 +23,7 @@
 	d.inFlight++
 	d.sentCount++
 	server.Begin()
+	d.request.heldBody.retain()
 	d.trackServer(d.request, server.ID)
 	go d.runAttempt(server, d.canaryMark(server))
 }
@@ -68,5 +69,6 @@
 	}
 	d.releaseSlot(server)
 	server.End(outcome, elapsed, expected, now)
+	d.request.heldBody.release()
 	d.results <- attemptResult{server, response, err}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -89,6 +89,8 @@
 	// inbound and outbound track the two directions of the machine's network link.
 	inbound, outbound *bandwidth.Pacer
 	downloads         *bandwidth.BulkLimiter
+	// bodyMemory limits the memory of request bodies.
+	bodyMemory *bodyMemory
 	// outcomes counts attempt outcomes for the reports to the control plane.
 	outcomes *outlier.Recorder
 	// canaryAllowances limits, by service, the requests sent to a canary version.
@@ -170,6 +172,7 @@
 	locality := balancer.Locality{Node: cfg.Platform.NodeName, Zone: cfg.Platform.Zone, SubsetSize: int(cfg.Tuning.SubsetSize)}
 	p.inbound = bandwidth.NewPacer(cfg.Platform.Limits.LinkMbps, timeSource)
 	p.outbound = bandwidth.NewPacer(cfg.Platform.Limits.LinkMbps, timeSource)
+	p.bodyMemory = newBodyMemory(cfg.Platform.Limits.MemoryMB)
 	p.downloads = bandwidth.NewBulkLimiter(p.outbound)
 	p.snapshot.Store(&snapshot{routingTable: config.ItemSet{}.Compile(), balancer: balancer.NewServerSet(locality)})
 	p.serve = endpoint.Chain(p.admissionMiddleware, p.limitingDownloads, p.idempotencyMiddleware)(p.forward)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -3,14 +3,10 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/balancer"
 	"ploverhitch/internal/clock"
@@ -39,6 +35,8 @@
 	canaryEligible bool
 	// releaseLink returns the link capacity that a download reserved.
 	releaseLink func()
+	// heldBody is the memory that the body occupies.
+	heldBody *heldBody
 	// replayed is set if the response comes from a stored record.
 	replayed bool
 	// stagedChange is set if a staged change affects the request.
@@ -80,6 +78,7 @@
 		p.writeError(w, r, err)
 		return
 	}
+	defer req.heldBody.release()
 	req.releaseLink = func() {}
 	result, err := p.serve(r.Context(), req)
 	req.duration = time.Since(req.arrivedAt)
@@ -137,19 +136,10 @@
 			req.deadline = clientDeadline
 		}
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(max(limits.MaxBodyBytes, 1))))
+	body, err := p.readBody(w, r, req)
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, apierror.New(apierror.BodyTooLarge, "")
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, apierror.New(apierror.RequestTimeout, "")
-		}
-		return nil, apierror.New(apierror.MalformedRequest, "cannot read the request body")
+		return nil, err
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	req.Request = &upstream.Request{
 		Method: r.Method, Target: target, Host: r.Host, Header: r.Header, Body: body,
 		HasBody: r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead,
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -116,11 +116,28 @@
 // send writes the request and returns the number of bytes written.
 func (c *connection) send(delivery Delivery, remaining time.Duration, instance string) (count int, err error) {
 	request := delivery.Request
-	text := request.appendHeader(make([]byte, 0, 512+len(request.Body)), remaining, instance)
-	text = append(text, request.Body...)
-	delivery.Outbound.CountShort(len(text))
-	return c.conn.Write(text)
+	joined := 0
+	if len(request.Body) <= maxJoinedBody {
+		joined = len(request.Body)
+	}
+	text := request.appendHeader(make([]byte, 0, typicalHeaderBytes+joined), remaining, instance)
+	text = append(text, request.Body[:joined]...)
+	delivery.Outbound.CountShort(len(text) + len(request.Body) - joined)
+	count, err = c.conn.Write(text)
+	if err == nil && joined < len(request.Body) {
+		var bodyCount int
+		bodyCount, err = c.conn.Write(request.Body)
+		count += bodyCount
+	}
+	return count, err
 }
 
+const (
+	typicalHeaderBytes = 512
+	// maxJoinedBody is the length up to which a body is written together with the header. A longer
+	// one is not copied.
+	maxJoinedBody = 64 << 10
+)
+
 // reusable reports whether the connection may carry another request.
 func (c *connection) reusable() bool { return !c.noReuse && c.reader.Buffered() == 0 }
