--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -59,8 +59,8 @@
 	queue, slots chan struct{}
 	// by is what its replies are signed with.
 	by string
-	// long is by how much its bodies are longer.
-	long int
+	// filler makes its bodies longer.
+	filler []byte
 	// writing is the number of answers that are being written.
 	writing atomic.Int64
 }
@@ -189,7 +189,7 @@
 		if err != nil {
 			return
 		}
-		text, err := io.ReadAll(r.Body)
+		received, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
@@ -200,8 +200,9 @@
 			write(conn, "503 Service Unavailable", id, "Ploverhitch-Not-Executed: 1\r\n", "")
 			continue
 		}
-		act, held := s.begin(r, string(text))
-		body := s.body(id)
+		act, held := s.begin(r, string(received))
+		text, filler := s.body(id)
+		length := len(text) + len(filler)
 		s.toil()
 		leave()
 		switch act {
@@ -224,7 +225,7 @@
 		case CutBefore:
 			return
 		case CutWithin:
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\npart", id, seal, 900+len(body))
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\npart", id, seal, 900+length)
 			return
 		case NoSeal:
 			seal = ""
@@ -237,10 +238,10 @@
 			<-held
 		}
 		if r.Method == http.MethodHead {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n", id, seal, len(body))
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPloverhitch-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n", id, seal, length)
 			continue
 		}
-		s.writeAnswer(conn, id, seal, body)
+		s.writeAnswer(conn, id, seal, text, filler)
 		if act == SurplusAfter {
 			write(conn, "200 OK", "of-another", "Ploverhitch-Server-Seal: stray\r\n", "stray")
 		}
