--- a/internal/proxy/idempotency.go
+++ b/internal/proxy/idempotency.go
@@ -57,6 +57,9 @@
 		if len(keys) != 1 || keys[0] == "" {
 			return nil, apierror.New(apierror.MalformedRequest, "exactly one operation key is required")
 		}
+		if !p.canKeepOutcomes(req.snapshot.view) {
+			return nil, apierror.New(apierror.KeyNotReserved, "too many large outcomes wait for the control nodes")
+		}
 		req.key = idempotency.Key{Tenant: req.route.Host, Key: keys[0]}
 		a := &keyedAttempt{proxy: p, request: req, ungranted: map[string]bool{}}
 		attemptID := p.incarnation + "-" + strconv.FormatUint(p.attemptCount.Add(1), 36)
@@ -150,6 +153,10 @@
 func (a *keyedAttempt) recordIntent(intent idempotency.Intent, timeout time.Duration) {
 	// Members without a vote for the attempt store its record too.
 	clear(a.ungranted)
+	if isLargeOutcome(intent) {
+		a.recordLargeOutcome(intent, a.snapshot.Load().view, max(timeout, time.Until(a.request.deadline)/largeOutcomeWaitDivisor))
+		return
+	}
 	a.recentIntents.add(intent, a.clock.Monotonic(), a.recordRetention())
 	view := a.snapshot.Load().view
 	acknowledgements, cancel := notifyMembers[messages.Ack](a.proxy, view, messages.KindRecord, messages.Record{Intent: intent})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -76,6 +76,7 @@
 
 	mu           sync.Mutex
 	connections  map[string]*rpc.Client
+	outcomeLanes map[string]*outcomeLane
 	retryBudgets map[string]*balancer.RetryBudget
 	routeStats   sync.Map
 	// runningOperations holds the running ring-placed operations by their request.
@@ -165,7 +166,7 @@
 func newProxy(cfg *settings.Settings, timeSource clock.Clock, log LogFunc) *proxy {
 	p := &proxy{
 		clock: timeSource, log: log, updateLoop: clock.NewLoop[feed.Update](256), replica: feed.NewReplica(),
-		connections: map[string]*rpc.Client{}, retryBudgets: map[string]*balancer.RetryBudget{}, incarnation: newIncarnation(), outcomes: outlier.NewRecorder(), siteCapacity: sites.NewNodeLeases(timeSource),
+		connections: map[string]*rpc.Client{}, outcomeLanes: map[string]*outcomeLane{}, retryBudgets: map[string]*balancer.RetryBudget{}, incarnation: newIncarnation(), outcomes: outlier.NewRecorder(), siteCapacity: sites.NewNodeLeases(timeSource),
 		shedder: newLoadShedder(timeSource), trafficMirror: newMirrorSender(),
 	}
 	p.settings.Store(cfg)
--- a/internal/proxy/resend.go
+++ b/internal/proxy/resend.go
@@ -36,6 +36,13 @@
 	r.latest[intent.Attempt] = added
 }
 
+// supersede forgets the earlier states of an attempt whose last state is sent elsewhere.
+func (r *recentIntents) supersede(attempt idempotency.Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.latest, attempt)
+}
+
 // dropExpired drops the intents older than the retention. The lock must be held.
 func (r *recentIntents) dropExpired(now, retention clock.Instant) {
 	expired := 0
