--- a/internal/proxy/attempt_limit_test.go
+++ b/internal/proxy/attempt_limit_test.go
@@ -18,15 +18,7 @@
 
 var _ = Describe("a route whose operator sets a very large MaxAttempts", func() {
 	var servers []*standin.Server
-	BeforeEach(func() {
-		servers = nil
-		for _, id := range []string{"i-1", "i-2", "i-3"} {
-			server, err := standin.NewServer(id, "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(server.Close)
-			servers = append(servers, server)
-		}
-	})
+	BeforeEach(func() { servers = newTestServers() })
 
 	// Guards against a proxy that reserves memory for MaxAttempts results per request, and ends with
 	// "out of memory" or a panic at the next request of the route (review/5).
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -88,6 +88,9 @@
 
 // readBody reads the whole body of the request, once there is memory for it.
 func (p *proxy) readBody(w http.ResponseWriter, r *http.Request, req *clientRequest) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
 	limit := int64(max(req.snapshot.routingTable.Limits.MaxBodyBytes, 1))
 	if r.ContentLength > limit {
 		return nil, apierror.New(apierror.BodyTooLarge, "")
@@ -99,7 +102,7 @@
 	req.heldBody = p.bodyMemory.hold()
 	var body []byte
 	var err error
-	if r.ContentLength >= 0 {
+	if r.ContentLength > 0 {
 		body, err = readSized(ctx, r.Body, r.ContentLength, req.heldBody)
 	} else {
 		body, err = readUnsized(ctx, http.MaxBytesReader(w, r.Body, limit), limit, req.heldBody)
@@ -129,9 +132,6 @@
 
 // readSized reads a body of a known length into a buffer of its size.
 func readSized(ctx context.Context, source io.Reader, size int64, held *heldBody) ([]byte, error) {
-	if size == 0 {
-		return nil, nil
-	}
 	if err := held.grow(ctx, size); err != nil {
 		return nil, err
 	}
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,9 +11,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/balancer"
-	"ploverhitch/internal/config"
-	"ploverhitch/internal/feed"
 	"ploverhitch/internal/standin"
 )
 
@@ -25,26 +21,9 @@
 	var p *proxy
 	var address string
 	BeforeEach(func() {
-		var err error
-		server, err = standin.NewServer("i-1", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(server.Close)
-		p, _ = newTestRequest(config.Safe)
+		server = newTestServer("i-1")
+		p, address = newTestFront(server, "4s", `{"MaxBodyBytes":9223372036854775807,"Revision":"r1"}`)
 		p.bodyMemory = newBodyMemory(memoryMB)
-		items := config.ItemSet{}
-		items.Merge([]config.Item{
-			{ID: config.ID{Class: config.ServiceItem, Name: "s"}, Version: 1, Body: []byte(`{"Name":"s","Revision":"r1"}`)},
-			{ID: config.ID{Class: config.LimitsItem}, Version: 1, Body: []byte(`{"MaxBodyBytes":9223372036854775807,"Revision":"r1"}`)},
-			{ID: config.ID{Class: config.RouteItem, Name: "r"}, Version: 1, Host: "h.example", Body: []byte(`{"Name":"r","PathPrefix":"/a/","RouteType":"unsafe","Timeout":"4s","Service":"s","Revision":"r1"}`)},
-		})
-		fleet := feed.Fleet{Servers: []feed.Server{{ID: "i-1", Service: "s", Address: server.Address(), Capacity: 4, IsReady: true}}}
-		p.snapshot.Store(&snapshot{routingTable: items.Compile(), balancer: balancer.NewServerSet(balancer.Locality{Node: "n"}).WithFleet(fleet), proxyCount: 1, complete: true})
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		address = listener.Addr().String()
-		front := p.newClientServer()
-		go func() { _ = front.Serve(listener) }()
-		DeferCleanup(front.Close)
 	})
 	// send sends a body of the size, in chunks or with its length, and returns the status, or 0 without an answer.
 	send := func(id string, size int, chunked bool) int {
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -15,15 +15,7 @@
 
 var _ = Describe("a request that must not be executed twice", func() {
 	var servers []*standin.Server
-	BeforeEach(func() {
-		servers = nil
-		for _, id := range []string{"i-1", "i-2", "i-3"} {
-			server, err := standin.NewServer(id, "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(server.Close)
-			servers = append(servers, server)
-		}
-	})
+	BeforeEach(func() { servers = newTestServers() })
 	requestCount := func() (total int) {
 		for _, server := range servers {
 			count, _ := server.Counts()
--- a/internal/proxy/read_request_test.go
+++ b/internal/proxy/read_request_test.go
@@ -11,9 +11,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"ploverhitch/internal/balancer"
-	"ploverhitch/internal/config"
-	"ploverhitch/internal/feed"
 	"ploverhitch/internal/standin"
 )
 
@@ -21,24 +18,8 @@
 	var server *standin.Server
 	var address string
 	BeforeEach(func() {
-		var err error
-		server, err = standin.NewServer("i-1", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(server.Close)
-		p, _ := newTestRequest(config.Safe, server)
-		items := config.ItemSet{}
-		items.Merge([]config.Item{
-			{ID: config.ID{Class: config.ServiceItem, Name: "s"}, Version: 1, Body: []byte(`{"Name":"s","Revision":"r1"}`)},
-			{ID: config.ID{Class: config.RouteItem, Name: "r"}, Version: 1, Host: "h.example", Body: []byte(`{"Name":"r","PathPrefix":"/a/","RouteType":"unsafe","Timeout":"300ms","Service":"s","Revision":"r1"}`)},
-		})
-		fleet := feed.Fleet{Servers: []feed.Server{{ID: "i-1", Service: "s", Address: server.Address(), Capacity: 4, IsReady: true}}}
-		p.snapshot.Store(&snapshot{routingTable: items.Compile(), balancer: balancer.NewServerSet(balancer.Locality{Node: "n"}).WithFleet(fleet), proxyCount: 1, complete: true})
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		address = listener.Addr().String()
-		front := p.newClientServer()
-		go func() { _ = front.Serve(listener) }()
-		DeferCleanup(front.Close)
+		server = newTestServer("i-1")
+		_, address = newTestFront(server, "300ms", `{"Revision":"r1"}`)
 	})
 	// exchange sends the text on a new connection and returns the answer.
 	exchange := func(text string) (*http.Response, string) {
--- a/internal/standin/numbers_test.go
+++ b/internal/standin/numbers_test.go
@@ -7,9 +7,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"ploverhitch/internal/agent"
-	"ploverhitch/internal/proxy"
 )
 
 // unusualFields are fields of a route with values that no rule of the protocol calls invalid.
@@ -76,16 +73,9 @@
 		for number := range s.cores {
 			s.cores[number] = s.core(number+1, false)
 		}
-		edge, err := s.town.Edge(2)
-		Expect(err).NotTo(HaveOccurred())
-		s.edges = append(s.edges, edge)
-		agentProcess, proxyProcess := start(agent.Run, edge), start(proxy.Run, edge)
-		DeferCleanup(func() {
-			proxyProcess.end()
-			agentProcess.end()
-		})
+		s.startEdge(2)
 		Eventually(func() error {
-			_, err := http.Get("http://" + edge.Ready + "/v1/ready")
+			_, err := http.Get("http://" + s.edges[1].Ready + "/v1/ready")
 			return err
 		}).Should(Succeed())
 		expectServed(1)
--- a/internal/standin/process_test.go
+++ b/internal/standin/process_test.go
@@ -97,14 +97,7 @@
 		}
 	})
 	for number := 1; number <= edges; number++ {
-		edge, err := s.town.Edge(number)
-		Expect(err).NotTo(HaveOccurred())
-		s.edges = append(s.edges, edge)
-		agentProcess, proxyProcess := start(agent.Run, edge), start(proxy.Run, edge)
-		DeferCleanup(func() {
-			proxyProcess.end()
-			agentProcess.end()
-		})
+		s.startEdge(number)
 	}
 	Eventually(func() (int, error) { return s.town.Modify(1, manifestText) }).Should(Equal(200))
 	for _, edge := range s.edges {
@@ -120,6 +113,18 @@
 	return s
 }
 
+// startEdge starts an edge machine that ends with the spec.
+func (s *system) startEdge(number int) {
+	edge, err := s.town.Edge(number)
+	Expect(err).NotTo(HaveOccurred())
+	s.edges = append(s.edges, edge)
+	agentProcess, proxyProcess := start(agent.Run, edge), start(proxy.Run, edge)
+	DeferCleanup(func() {
+		proxyProcess.end()
+		agentProcess.end()
+	})
+}
+
 // hidden leaves the new servers out of the list.
 func (s *system) hidden() map[string]string { return map[string]string{"n-1": "gone", "n-2": "gone"} }
 
