--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,9 @@
 	bodyMemoryDivisor = 4
 	// smallBodyBytes is the size up to which a body needs no share of the memory.
 	smallBodyBytes = 64 << 10
+	// collectBodyBytes is the size from which memory is collected before a body is read: bodies that have ended
+	// would otherwise be in memory beside the new one.
+	collectBodyBytes = 8 << 20
 	// maxBodyWait is how long a request waits for memory at most, bodyWaitDivisor the fraction of its time that
 	// it waits: a client that is rejected early has time to try another node.
 	maxBodyWait     = 500 * time.Millisecond
@@ -135,6 +139,9 @@
 	if err := held.grow(ctx, size); err != nil {
 		return nil, err
 	}
+	if size >= collectBodyBytes {
+		runtime.GC()
+	}
 	body := make([]byte, size)
 	_, err := io.ReadFull(source, body)
 	return body, err
