A staged change is not halted once it comes into force

Cause: a halt was permitted in the phases in which the leader brings the change into the configuration. Change: it gets 409 there.

--- a/internal/control/commands_test.go
+++ b/internal/control/commands_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// Guards against a halt that is acknowledged, and told as reverted, although the configuration has the change.
+func TestStagedChangeIsNotHaltedOnceItsCommitHasBegun(t *testing.T) {
+	items := []config.Item{{ID: config.ID{Class: config.RouteItem, Name: "l"}, Version: 2}}
+	subject := rollout.StagedPrefix + "change"
+	for _, phase := range []rollout.Phase{rollout.Shifting, rollout.Draining, rollout.Complete} {
+		c, _ := newTestCoordinator(rollout.State{Subject: subject, Number: 1, Items: items, Phase: phase})
+		kind, detail := c.haltStagedChange(messages.StagedChange{Name: "change", Halt: true})
+		if kind != apierror.OrderInProgress || detail == "" || c.states[subject].Phase != phase {
+			t.Errorf("phase %s: got %v %q, phase %s", phase, kind, detail, c.states[subject].Phase)
+		}
+	}
+}
+
 func TestCommandThatWaitedLongerThanItsCallerHasNoEffect(t *testing.T) {
 	for wait, late := range map[time.Duration]bool{commandTimeout - time.Millisecond: false, commandTimeout: true} {
 		c, manualClock := newTestCoordinator(rollout.State{Subject: "s"})
--- a/internal/control/staged_coordinator.go
+++ b/internal/control/staged_coordinator.go
@@ -91,6 +91,10 @@
 	if !state.Phase.IsActive() && state.Reason == haltedByOperator {
 		return apierror.None, ""
 	}
+	if state.Phase.IsActive() && state.Phase != rollout.Canary {
+		// The configuration may have the change already, and then no halt takes it back.
+		return apierror.OrderInProgress, "the staged change has passed its last wave and comes into force; send an ordinary change to take it back"
+	}
 	next, permitted := state.Apply(rollout.Halted, haltedByOperator, time.Duration(c.clock.Monotonic()-c.rolloutStartedAt(state)))
 	if !permitted {
 		return apierror.OrderInProgress, "the staged change has ended"
