--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -71,6 +71,7 @@
 	operators := slopes.Flag("operators", "Number of operators that send changes concurrently.").Default("1").Int()
 	simulate, simulated := addSimulate(app)
 	departures, departed := addDepartures(app)
+	stalled, stalling := addStalled(app)
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case simulate.FullCommand():
 		app.FatalIfError(simulated.run(), "the simulation")
@@ -78,6 +79,9 @@
 	case departures.FullCommand():
 		app.FatalIfError(departed.run(), "the emulation")
 		return
+	case stalled.FullCommand():
+		app.FatalIfError(stalling.run(), "measuring beside clients that don't read")
+		return
 	}
 	if len(*orders) > 0 {
 		app.FatalIfError(printChangeLatencies(*orders, max(1, *count), max(1, *operators)), "measuring configuration changes")
