control: no order is decided late that another node may have rejected

Cause: nothing in these messages says what the caller may have been told meanwhile. Change: a forwarded order names a base, an index that was decided while its caller still waited for the response. Whoever rejects the order later does so for that configuration or a newer one. A member decides on the order only if it is valid for each configuration from the base to the newest, by itself; else it names its index, and the sender, if its caller still waits, proposes the order again. For an operator's own call the node reads its index and then asks the socket for the caller.

Why it works: the check depends only on the order and the configuration (a mirror's end counts as of the time of the base), and it is made once a majority has promised the next index, for exactly that index. Two holes beside it: an order that only another one of its batch made invalid was rejected for a configuration that was never decided; it now waits for the next round. An order that only its batch makes valid is rejected.

--- a/internal/control/config_replicator.go
+++ b/internal/control/config_replicator.go
@@ -35,9 +35,19 @@
 	noMajorityTimeout = 400 * time.Millisecond
 )
 
-// proposal is a set of items that waits for a decision.
+// base is a configuration that was decided while the caller of an order still waited for
+// the response: whoever rejects the order later does so for this configuration or a newer
+// one. learntAt is when the node that received the order learnt the index.
+type base struct {
+	index    registry.Index
+	learntAt time.Time
+}
+
+// proposal is a set of items that waits for a decision. Without a base, which builds
+// that don't send one leave out, it is judged only by the newest configuration.
 type proposal struct {
 	items    []config.Item
+	base     *base
 	deadline clock.Instant
 	result   chan proposalResult
 }
@@ -98,8 +108,8 @@
 }
 
 // submit queues a proposal at this node and waits for its result.
-func (r *configReplicator) submit(items []config.Item) (registry.Index, error) {
-	p := &proposal{items: items, deadline: r.node.clock.Monotonic() + clock.Instant(proposeTimeout), result: make(chan proposalResult, 1)}
+func (r *configReplicator) submit(items []config.Item, base *base) (registry.Index, error) {
+	p := &proposal{items: items, base: base, deadline: r.node.clock.Monotonic() + clock.Instant(proposeTimeout), result: make(chan proposalResult, 1)}
 	select {
 	case r.queue <- p:
 	default:
@@ -125,8 +135,9 @@
 		if len(proposals) == 0 {
 			return
 		}
-		decided, majorityResponded := r.runRound(proposals)
-		if decided {
+		var majorityResponded bool
+		proposals, majorityResponded = r.runRound(proposals)
+		if len(proposals) == 0 {
 			return
 		}
 		if majorityResponded {
@@ -139,9 +150,9 @@
 	}
 }
 
-// runRound runs one round for the proposals and reports whether they were decided, and
+// runRound runs one round for the proposals. It returns those that are still undecided, and
 // whether a majority answered at all.
-func (r *configReplicator) runRound(proposals []*proposal) (decided, majorityResponded bool) {
+func (r *configReplicator) runRound(proposals []*proposal) (undecided []*proposal, majorityResponded bool) {
 	n := r.node
 	round, view, canVote := registry.Round{}, membership.View{}, false
 	n.store.read(func(t *tables) {
@@ -149,7 +160,7 @@
 		round.Epoch, round.Index, round.Majority = t.view.Epoch, t.registry.Next(), t.view.Majority()
 	})
 	if !canVote {
-		return false, false
+		return proposals, false
 	}
 	r.round++
 	round.Ballot = membership.Ballot{Round: r.round, Node: n.proposerID}
@@ -169,10 +180,9 @@
 	}
 	majorityResponded = outcome.Responses >= round.Majority
 	if outcome.Decided == nil && !outcome.NothingToPropose || !draft.drafted {
-		return false, majorityResponded
+		return proposals, majorityResponded
 	}
-	draft.reply(outcome)
-	return true, majorityResponded
+	return draft.reply(outcome), majorityResponded
 }
 
 // broadcast sends a decided change to every member, after applying it to this one.
@@ -231,7 +241,7 @@
 		return
 	}
 	r.undecidedSince = 0
-	if _, err := r.submit(nil); err != nil {
+	if _, err := r.submit(nil, nil); err != nil {
 		n.log("info", "cannot complete a configuration change", "error", err)
 	}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -85,8 +85,8 @@
 	return nil
 }
 
-func (n *node) modifyEndpoint(_ context.Context, request any) (any, error) {
-	return json.RawMessage("{}"), n.modify(request.([]config.Item))
+func (n *node) modifyEndpoint(ctx context.Context, request any) (any, error) {
+	return json.RawMessage("{}"), n.modify(request.([]config.Item), httpCaller{ctx})
 }
 
 func (n *node) readEndpoint(context.Context, any) (any, error) {
--- a/internal/control/legacy_test.go
+++ b/internal/control/legacy_test.go
@@ -37,7 +37,7 @@
 		DeferCleanup(cancel)
 		go n.configReplicator.run(ctx)
 
-		index, err := n.configReplicator.submit(nil)
+		index, err := n.configReplicator.submit(nil, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(index).To(BeEquivalentTo(1))
 		Expect(logged).To(Receive(ContainSubstring("shares host and prefix with another and is dropped")))
@@ -48,7 +48,7 @@
 			Expect(string(t.configuration()[route("right", 2).ID].Body)).To(ContainSubstring(`"RouteType":"safe"`))
 		})
 		// A second proposal makes no further change.
-		index, err = n.configReplicator.submit(nil)
+		index, err = n.configReplicator.submit(nil, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(index).To(BeEquivalentTo(1))
 	})
--- a/internal/control/modify.go
+++ b/internal/control/modify.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"time"
 
 	"ploverhitch/internal/apierror"
@@ -17,32 +18,89 @@
 // errUndecided reports a change whose outcome is unknown: it may still be accepted.
 var errUndecided = apierror.New(apierror.ControlPlaneUnavailable, "the outcome of the configuration change is unknown")
 
-// modify applies an operator's change of configuration items. It returns nil once a
-// majority has accepted the change that contains the items, or has confirmed that
-// they are already part of the configuration.
-func (n *node) modify(items []config.Item) error {
-	_, err := n.commit(items)
+// maxProposeAttempts is how often a member is asked to propose the same order, each time with
+// a newer base.
+const maxProposeAttempts = 3
+
+// order is a change of configuration items on its way to a decision.
+type order struct {
+	items  []config.Item
+	caller caller
+	// head is the highest index that a member has named.
+	head registry.Index
+}
+
+// modify applies a change of configuration items. It returns nil once a majority has
+// accepted the change that contains the items, or has confirmed that they are already
+// part of the configuration.
+func (n *node) modify(items []config.Item, caller caller) error {
+	_, err := n.commit(&order{items: items, caller: caller})
 	return err
 }
 
 // commit does what modify does and also returns the index of the item set that
 // contains the items.
-func (n *node) commit(items []config.Item) (registry.Index, error) {
+func (n *node) commit(o *order) (registry.Index, error) {
 	for _, member := range n.proposers() {
-		if member == n.self {
-			return n.configReplicator.submit(items)
+		index, err := n.proposeThrough(member, o)
+		if member == n.self || !isUnavailable(err) || errors.Is(err, errAbandoned) {
+			return index, err
 		}
-		var result messages.OrderResponse
-		if n.call(member, messages.KindPropose, messages.Propose{Items: items}, &result, forwardTimeout) != nil {
-			continue
+	}
+	return 0, errUndecided
+}
+
+// proposeThrough has a member propose the order. If the member can't rule out that the
+// order was rejected since its base, the order is proposed again with a newer one.
+func (n *node) proposeThrough(member string, o *order) (index registry.Index, err error) {
+	for range maxProposeAttempts {
+		base, hasLeft := n.newBase(o)
+		if hasLeft {
+			n.log("info", "the caller of an order has left", "items", len(o.items))
+			return 0, errAbandoned
 		}
-		if result.Kind != apierror.ControlPlaneUnavailable {
-			return registry.Index(result.Index), resultError(result)
+		index, err = n.propose(member, o.items, base)
+		var stale *registry.StaleError
+		if !errors.As(err, &stale) {
+			return index, err
 		}
+		n.log("info", "an order is proposed again", "member", member, "base", base.index, "head", stale.Head)
+		o.head = max(o.head, stale.Head)
 	}
 	return 0, errUndecided
 }
 
+// newBase returns the newest base that this node knows for the order, and whether the caller
+// has left. It asks for the caller after it has read the index: whoever tells the caller
+// later that the order is rejected judges it by this configuration or a newer one.
+func (n *node) newBase(o *order) (newest base, hasLeft bool) {
+	newest = base{index: o.head, learntAt: n.clock.Wall()}
+	n.store.read(func(t *tables) { newest.index = max(newest.index, t.registry.Index) })
+	return newest, o.caller.HasLeft()
+}
+
+// propose proposes items at this node or forwards them to another member.
+func (n *node) propose(member string, items []config.Item, base base) (registry.Index, error) {
+	if member == n.self {
+		return n.configReplicator.submit(items, &base)
+	}
+	message := messages.Propose{Items: items, Base: &base.index, BaseTime: base.learntAt.UnixNano()}
+	var result messages.OrderResponse
+	if n.call(member, messages.KindPropose, message, &result, forwardTimeout) != nil {
+		return 0, errUndecided
+	}
+	if result.IsStale {
+		return 0, &registry.StaleError{Head: registry.Index(result.Index)}
+	}
+	return registry.Index(result.Index), resultError(result)
+}
+
+// isUnavailable reports whether an error leaves the outcome of an order open.
+func isUnavailable(err error) bool {
+	var known *apierror.Error
+	return errors.As(err, &known) && known.Kind == apierror.ControlPlaneUnavailable
+}
+
 // resultError converts the result that another node returned into an error.
 func resultError(result messages.OrderResponse) error {
 	if result.Kind == apierror.None {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -124,7 +124,7 @@
 	go n.replicateIntents(ctx)
 	go n.coordinator.run(ctx)
 	go n.pollPlatform(ctx)
-	server := &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	server := &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, ConnContext: withConnection}
 	go func() {
 		<-stopping
 		n.releaseOnShutdown()
--- a/internal/control/read_config.go
+++ b/internal/control/read_config.go
@@ -55,7 +55,7 @@
 	if undecided {
 		// A change that some members have accepted may already be decided and
 		// acknowledged; complete it before reading.
-		index, err := n.commit(nil)
+		index, err := n.commit(&order{caller: internalCaller{}})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/control/registry/draft.go
+++ b/internal/control/registry/draft.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 
 	"ploverhitch/internal/config"
 )
@@ -52,9 +53,38 @@
 // is not higher than the current one. If its version was accepted with different
 // content, Add returns a ConflictError, unless the proposal fails validation.
 func (d *Draft) Add(items []config.Item) error {
+	unseen, undo, err := d.try(items)
+	if err != nil {
+		undo()
+		return err
+	}
+	d.include(unseen)
+	return nil
+}
+
+// Check returns the error that Add would return, without adding the proposal.
+func (d *Draft) Check(items []config.Item) error {
+	_, undo, err := d.try(items)
+	undo()
+	return err
+}
+
+// isEmpty reports whether the proposals added so far change nothing.
+func (d *Draft) isEmpty() bool { return len(d.items) == 0 }
+
+// includes reports whether all items were accepted before with this content.
+func (d *Draft) includes(items []config.Item) bool {
+	_, unseen, _ := d.classify(items)
+	return len(unseen) == 0
+}
+
+// try puts the items of a proposal that take effect into the item set and validates the
+// result. It returns the items that were not accepted before, and a function that
+// restores the item set.
+func (d *Draft) try(items []config.Item) (unseen []config.Item, undo func(), err error) {
 	newer, unseen, conflict := d.classify(items)
 	if len(unseen) == 0 {
-		return nil
+		return nil, func() {}, nil
 	}
 	previous := map[config.ID]config.Item{}
 	for _, item := range newer {
@@ -65,21 +95,17 @@
 		}
 		d.itemSet[item.ID] = item
 	}
-	err := d.check(d.itemSet, newer, unseen)
-	if err == nil && conflict != nil {
-		err = conflict
-	}
-	if err != nil {
+	undo = func() {
 		for _, item := range newer {
 			delete(d.itemSet, item.ID)
 		}
-		for id, current := range previous {
-			d.itemSet[id] = current
-		}
-		return err
+		maps.Copy(d.itemSet, previous)
 	}
-	d.include(unseen)
-	return nil
+	err = d.check(d.itemSet, newer, unseen)
+	if err == nil && conflict != nil {
+		err = conflict
+	}
+	return unseen, undo, err
 }
 
 // classify returns the items that take effect, those that were not accepted before
--- a/internal/control/registry/page.go
+++ b/internal/control/registry/page.go
@@ -138,6 +138,6 @@
 		return false
 	}
 	r.Set, r.Acceptor = set, Acceptor{}
-	r.recent, r.recentBytes = nil, 0
+	r.recent, r.recentBytes, r.undo = nil, 0, undoLog{}
 	return true
 }
--- a/internal/control/registry/replica.go
+++ b/internal/control/registry/replica.go
@@ -20,6 +20,7 @@
 	Incarnation uint64
 	recent      []recentChange
 	recentBytes int
+	undo        undoLog
 }
 
 // recentChange is a decided change and its approximate size in bytes.
@@ -72,6 +73,7 @@
 	if change.Index != r.Next() {
 		return false
 	}
+	r.undo.record(r.Set, change)
 	r.apply(change)
 	r.Acceptor = Acceptor{}
 	r.retain(change)
--- a/internal/control/registry/set.go
+++ b/internal/control/registry/set.go
@@ -47,6 +47,14 @@
 	s.size += approximateSize(item)
 }
 
+// remove removes an item.
+func (s *Set) remove(id config.ID) {
+	if current, ok := s.Items[id]; ok {
+		s.size -= approximateSize(current)
+	}
+	delete(s.Items, id)
+}
+
 // NewSet returns an empty set.
 func NewSet() *Set {
 	return &Set{Items: config.ItemSet{}, history: map[config.ID][]AcceptedVersion{}}
--- a/internal/control/round_draft.go
+++ b/internal/control/round_draft.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"ploverhitch/internal/apierror"
 	"ploverhitch/internal/config"
@@ -15,6 +16,8 @@
 	index     registry.Index
 	drafted   bool
 	errs      []error
+	// checkTime is the time as of which the proposal at hand is checked.
+	checkTime time.Time
 }
 
 // build applies the proposals to the item set that precedes the round's change and
@@ -25,41 +28,64 @@
 		if t.registry.Next() != d.index {
 			return
 		}
+		d.errs = nil
 		set := t.registry.Set
 		if d.index == 1 {
 			var droppedRoutes []string
 			set, droppedRoutes = registry.MigrateLegacy(legacy)
 			n.logDroppedRoutes(droppedRoutes)
 		}
-		draft := set.Draft(n.checkProposal)
+		batch := t.registry.NewBatch(set, d.check)
 		for _, p := range d.proposals {
-			d.errs = append(d.errs, draft.Add(p.items))
+			d.errs = append(d.errs, d.add(batch, p))
 		}
 		if d.index == 1 {
-			change, ok = set.InitialChange(draft)
+			change, ok = set.InitialChange(batch.Draft())
 		} else {
-			change, ok = draft.Change()
+			change, ok = batch.Draft().Change()
 		}
 		d.drafted = true
 	})
 	return change, ok
 }
 
+// add adds a proposal to the batch if it is permitted. It is checked as of the time at
+// which its base was learnt: what depends on the time of day was no less restrictive then.
+func (d *roundDraft) add(batch *registry.Batch, p *proposal) error {
+	d.checkTime = d.node.clock.Wall()
+	if p.base == nil {
+		return batch.AddUnbound(p.items)
+	}
+	if p.base.learntAt.Before(d.checkTime) {
+		d.checkTime = p.base.learntAt
+	}
+	return batch.Add(p.items, p.base.index)
+}
+
+func (d *roundDraft) check(configuration config.ItemSet, newer, unseen []config.Item) error {
+	return d.node.checkProposal(configuration, newer, unseen, d.checkTime)
+}
+
 func (n *node) logDroppedRoutes(names []string) {
 	for _, name := range names {
 		n.log("warn", "a route stored by an older build shares host and prefix with another and is dropped", "route", name)
 	}
 }
 
-// reply sends each proposal its result.
-func (d *roundDraft) reply(outcome registry.Outcome) {
+// reply sends the proposals their results and returns those that wait for another round.
+func (d *roundDraft) reply(outcome registry.Outcome) (deferred []*proposal) {
 	index := d.index - 1
 	if outcome.Decided != nil {
 		index = d.index
 	}
 	for i, p := range d.proposals {
+		if errors.Is(d.errs[i], registry.ErrDeferred) {
+			deferred = append(deferred, p)
+			continue
+		}
 		p.result <- proposalResult{index, responseError(d.errs[i])}
 	}
+	return deferred
 }
 
 func responseError(err error) error {
@@ -71,8 +97,8 @@
 }
 
 // checkProposal validates the configuration that a proposal would produce, and the
-// proposal's own items.
-func (n *node) checkProposal(configuration config.ItemSet, newer, unseen []config.Item) error {
+// proposal's own items, as of a time of day.
+func (n *node) checkProposal(configuration config.ItemSet, newer, unseen []config.Item, at time.Time) error {
 	if err := configuration.CheckChange(newer); err != nil {
 		return err
 	}
@@ -82,5 +108,5 @@
 	if err := n.checkSites(configuration); err != nil {
 		return err
 	}
-	return configuration.CheckExtensions(newer, n.clock.Wall())
+	return configuration.CheckExtensions(newer, at)
 }
--- a/internal/control/round_transport.go
+++ b/internal/control/round_transport.go
@@ -103,16 +103,33 @@
 // onPropose proposes a change on behalf of another node.
 func (n *node) onPropose(in messages.Propose, reply func(messages.OrderResponse)) {
 	go func() {
-		index, err := n.configReplicator.submit(in.Items)
-		out := messages.OrderResponse{Index: uint64(index)}
-		var known *apierror.Error
-		if errors.As(err, &known) {
-			out.Kind, out.Detail = known.Kind, known.Detail
-		}
-		reply(out)
+		index, err := n.configReplicator.submit(in.Items, baseOf(in))
+		reply(orderResponse(index, err))
 	}()
 }
 
+// baseOf returns the base of a forwarded change, or nil if an older build sent it.
+func baseOf(in messages.Propose) *base {
+	if in.Base == nil {
+		return nil
+	}
+	return &base{index: *in.Base, learntAt: time.Unix(0, in.BaseTime)}
+}
+
+// orderResponse returns the response to a forwarded change.
+func orderResponse(index registry.Index, err error) messages.OrderResponse {
+	var stale *registry.StaleError
+	if errors.As(err, &stale) {
+		return messages.OrderResponse{Kind: apierror.ControlPlaneUnavailable, Detail: stale.Error(), IsStale: true, Index: uint64(stale.Head)}
+	}
+	out := messages.OrderResponse{Index: uint64(index)}
+	var known *apierror.Error
+	if errors.As(err, &known) {
+		out.Kind, out.Detail = known.Kind, known.Detail
+	}
+	return out
+}
+
 // onOffer adds to the configuration the items that only an agent still holds. It
 // ignores offers that arrive while another is being handled.
 func (n *node) onOffer(in messages.OfferItems, reply func(messages.Ack)) {
@@ -127,7 +144,7 @@
 		}
 		missing := configuration.Newer(in.Items)
 		if len(missing) > 0 {
-			err = n.modify(missing)
+			err = n.modify(missing, internalCaller{})
 			n.log("warn", "proposed items that only an agent held", "items", len(missing), "error", err)
 		}
 		reply(messages.Ack{OK: err == nil})
--- a/internal/control/staged_coordinator.go
+++ b/internal/control/staged_coordinator.go
@@ -159,7 +159,7 @@
 	}
 	if state.Phase == rollout.Shifting {
 		if facts.Committed = committed; !committed {
-			facts.Committed = c.modify(state.Items) == nil
+			facts.Committed = c.modify(state.Items, internalCaller{}) == nil
 		}
 	}
 	event, reason := state.NextStaged(facts)
--- a/internal/messages/registry.go
+++ b/internal/messages/registry.go
@@ -38,4 +38,10 @@
 // Propose forwards an operator's configuration change to another member.
 type Propose struct {
 	Items []config.Item `cbor:"1,keyasint"`
+	// Base is the index of a configuration that was decided while the operator still waited
+	// for a response, BaseTime the time at which the sender learnt it, in nanoseconds since
+	// 1970. The change has no effect if another node may have rejected it since. Builds
+	// that don't send a base are not checked.
+	Base     *registry.Index `cbor:"2,keyasint,omitempty"`
+	BaseTime int64           `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/messages/rollouts.go
+++ b/internal/messages/rollouts.go
@@ -59,4 +59,7 @@
 	Detail string        `cbor:"2,keyasint,omitempty"`
 	// Index is the configuration index from which a configuration command is in force.
 	Index uint64 `cbor:"3,keyasint,omitempty"`
+	// IsStale is true if the command had no effect because another node may have rejected it
+	// since its base. Index is then the index of the member's configuration.
+	IsStale bool `cbor:"4,keyasint,omitempty"`
 }
