control: a rollout command that the leader rejected has no effect later

Operators could see a rollout start that had been answered with 404 (CONFIG): a follower that stood still found the call in its socket when it went on, and forwarded it to the leader. The same held for staged changes and halts, and for commands that wait on a slow link to a leader that keeps its lease.

Cause: as for orders, a command says nothing of what its caller may have been told meanwhile; its age was measured from when the leader read it. Change: a command names the leader's term and how many commands the leader had rejected while the caller still waited. Once either has changed, it has no effect, and the node that forwards it asks for the caller again and repeats it with the present state. All rejections of commands are the leader's, so it can know.

--- a/internal/control/call.go
+++ b/internal/control/call.go
@@ -122,12 +122,37 @@
 	return leader
 }
 
+// maxCommandAttempts is how often a command is sent to the leader, each time with a newer
+// base.
+const maxCommandAttempts = 3
+
 // callLeader forwards an operator's command to the leader, whichever node received it.
-func (n *node) callLeader(kind rpc.Kind, command any) error {
-	leader := n.leader()
-	var result messages.OrderResponse
-	if leader == "" || n.call(leader, kind, command, &result, commandTimeout) != nil {
-		return apierror.New(apierror.ControlPlaneUnavailable, "the leader does not respond")
+// command returns the command with its base. The caller is asked for after the base is
+// known: whoever tells the caller later that the command is rejected does so after that
+// state of the leader.
+func (n *node) callLeader(kind rpc.Kind, caller caller, command func(base *messages.CommandBase) any) error {
+	for range maxCommandAttempts {
+		base := n.lastCommandBase()
+		if caller.HasLeft() {
+			return errAbandoned
+		}
+		leader := n.leader()
+		var result messages.OrderResponse
+		if leader == "" || n.call(leader, kind, command(&base), &result, commandTimeout) != nil {
+			return apierror.New(apierror.ControlPlaneUnavailable, "the leader does not respond")
+		}
+		if !result.IsStale || result.CommandBase == nil {
+			return resultError(result)
+		}
+		n.knownCommandBase.Store(result.CommandBase)
+	}
+	return apierror.New(apierror.ControlPlaneUnavailable, "the leader rejects other commands at the same time")
+}
+
+// lastCommandBase returns the last state of the leader that this node was told.
+func (n *node) lastCommandBase() messages.CommandBase {
+	if known := n.knownCommandBase.Load(); known != nil {
+		return *known
 	}
-	return resultError(result)
+	return messages.CommandBase{}
 }
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -12,26 +12,50 @@
 
 // runCommand runs an operator's command in the coordinator's loop and replies with the
 // result. A command that waited longer than its caller does has no effect: the operator
-// has been sent an error and may have sent another command since.
-func (n *node) runCommand(reply func(messages.OrderResponse), run func(c *coordinator) (apierror.Kind, string)) {
+// has been sent an error and may have sent another command since. The same holds for one
+// whose base is no longer the state of the leader; without a base, which builds that
+// don't send one leave out, only the age counts.
+func (n *node) runCommand(base *messages.CommandBase, reply func(messages.OrderResponse), run func(c *coordinator) (apierror.Kind, string)) {
 	c, receivedAt := n.coordinator, n.clock.Monotonic()
-	enqueued := c.loop.Offer(func() {
-		kind, detail := apierror.ControlPlaneUnavailable, "this node is not the leader"
-		switch {
-		case time.Duration(c.clock.Monotonic()-receivedAt) >= commandTimeout:
-			detail = "the command waited too long"
-		case c.ensureLeading():
-			kind, detail = run(c)
-		}
-		reply(messages.OrderResponse{Kind: kind, Detail: detail})
-	})
+	enqueued := c.loop.Offer(func() { reply(c.responseTo(base, receivedAt, run)) })
 	if !enqueued {
 		reply(messages.OrderResponse{Kind: apierror.ControlPlaneUnavailable})
 	}
 }
 
+// responseTo runs a command if it is permitted and returns the response.
+func (c *coordinator) responseTo(base *messages.CommandBase, receivedAt clock.Instant, run func(c *coordinator) (apierror.Kind, string)) messages.OrderResponse {
+	response := messages.OrderResponse{Kind: apierror.ControlPlaneUnavailable}
+	switch {
+	case time.Duration(c.clock.Monotonic()-receivedAt) >= commandTimeout:
+		response.Detail = "the command waited too long"
+	case !c.ensureLeading():
+		response.Detail = "this node is not the leader"
+	case base != nil && *base != c.commandBase():
+		response.Detail = "the command may have been rejected before"
+		response.IsStale, response.CommandBase = true, new(c.commandBase())
+	default:
+		response.Kind, response.Detail = run(c)
+		c.countRejection(response.Kind)
+	}
+	return response
+}
+
+// commandBase returns the present base of commands.
+func (c *coordinator) commandBase() messages.CommandBase {
+	return messages.CommandBase{Term: c.term, Rejections: c.rejections}
+}
+
+// countRejection counts the result of a command if it tells the operator that the command
+// is rejected. Commands that other nodes forwarded before that have no effect any more.
+func (c *coordinator) countRejection(kind apierror.Kind) {
+	if kind != apierror.None && kind != apierror.ControlPlaneUnavailable {
+		c.rejections++
+	}
+}
+
 func (n *node) onStartRollout(in messages.StartRollout, reply func(messages.OrderResponse)) {
-	n.runCommand(reply, func(c *coordinator) (apierror.Kind, string) { return c.startRollout(in) })
+	n.runCommand(in.Base, reply, func(c *coordinator) (apierror.Kind, string) { return c.startRollout(in) })
 }
 
 // startRollout handles an operator's command to roll out a version of a service.
--- a/internal/control/commands_test.go
+++ b/internal/control/commands_test.go
@@ -76,7 +76,7 @@
 		c.isLeader.Store(true)
 		results := make(chan messages.OrderResponse, 1)
 		executed := false
-		c.runCommand(func(result messages.OrderResponse) { results <- result }, func(*coordinator) (apierror.Kind, string) {
+		c.runCommand(nil, func(result messages.OrderResponse) { results <- result }, func(*coordinator) (apierror.Kind, string) {
 			executed = true
 			return apierror.None, ""
 		})
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -56,6 +56,8 @@
 	eraCount       uint64
 	// repeatedCommands holds the last repetition of a command, by its subject.
 	repeatedCommands map[string]repeatedCommand
+	// rejections counts the commands that this node has rejected as the leader.
+	rejections uint64
 }
 
 // rolloutProgress is the state of an active rollout that only the leader keeps.
--- a/internal/control/late_order_test.go
+++ b/internal/control/late_order_test.go
@@ -157,3 +157,50 @@
 		Consistently(func() bool { return holdsItem(n, serviceItem("abandoned")) }, "300ms").Should(BeFalse())
 	})
 })
+
+var _ = Describe("an operator's command for a rollout that another node forwarded", func() {
+	// Guards against a command that is forwarded late and executed although the leader has rejected it meanwhile.
+	It("has no effect once the leader has rejected a command, or leads under another term", func() {
+		manualClock := &clock.Manual{Now: time.Hour}
+		n := newTestMember(manualClock, membership.View{Epoch: 1, Members: []string{"a"}})
+		lead := func(term uint64) {
+			manualClock.Sleep(testLeaseDuration)
+			granted := make(chan messages.Ack, 1)
+			n.onClaim(messages.Claim{Epoch: 1, Term: membership.Term{Number: term, Holder: "a"}}, func(done messages.Ack) { granted <- done })
+			Expect((<-granted).OK).To(BeTrue())
+			Expect(n.lease.acknowledge(n.lease.startRound(term, n.view(), manualClock.Monotonic()), "a")).To(BeTrue())
+			n.ownTerm.Store(term)
+			n.isLeader.Store(true)
+			Expect(n.coordinator.ensureLeading()).To(BeTrue())
+		}
+		run := func(base *messages.CommandBase, result apierror.Kind) (response messages.OrderResponse, executed bool) {
+			response = n.coordinator.responseTo(base, manualClock.Monotonic(), func(*coordinator) (apierror.Kind, string) {
+				executed = true
+				return result, ""
+			})
+			return response, executed
+		}
+
+		lead(1)
+		first, executed := run(&messages.CommandBase{}, apierror.None)
+		Expect(executed).To(BeFalse(), "the sender doesn't know the leader's state")
+		Expect(first.IsStale).To(BeTrue())
+		base := first.CommandBase
+		for _, result := range []apierror.Kind{apierror.None, apierror.ControlPlaneUnavailable, apierror.OrderInProgress} {
+			_, executed = run(base, result)
+			Expect(executed).To(BeTrue())
+		}
+		late, executed := run(base, apierror.None)
+		Expect(executed).To(BeFalse())
+		Expect(late.IsStale).To(BeTrue())
+		Expect(late.Kind).To(Equal(apierror.ControlPlaneUnavailable))
+		_, executed = run(late.CommandBase, apierror.None)
+		Expect(executed).To(BeTrue())
+		_, executed = run(nil, apierror.None)
+		Expect(executed).To(BeTrue(), "a command of an older build")
+
+		lead(2)
+		_, executed = run(late.CommandBase, apierror.None)
+		Expect(executed).To(BeFalse())
+	})
+})
--- a/internal/control/leader_lease_test.go
+++ b/internal/control/leader_lease_test.go
@@ -138,7 +138,7 @@
 			n.store.read(func(t *tables) { stored = len(t.rollouts) })
 			Expect(stored).To(BeZero(), "a write was stored after the lease had expired")
 			ordered := make(chan messages.OrderResponse, 1)
-			n.runCommand(func(answer messages.OrderResponse) { ordered <- answer }, func(*coordinator) (apierror.Kind, string) { panic("decided without a valid lease") })
+			n.runCommand(nil, func(answer messages.OrderResponse) { ordered <- answer }, func(*coordinator) (apierror.Kind, string) { panic("decided without a valid lease") })
 			go n.coordinator.run(GinkgoT().Context())
 			Eventually(ordered).Should(Receive(HaveField("Kind", apierror.ControlPlaneUnavailable)))
 		})
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -15,6 +15,7 @@
 	"ploverhitch/internal/feed"
 	"ploverhitch/internal/idempotency"
 	"ploverhitch/internal/membership"
+	"ploverhitch/internal/messages"
 	"ploverhitch/internal/rpc"
 	"ploverhitch/internal/settings"
 	"ploverhitch/internal/storage"
@@ -55,6 +56,8 @@
 	lease         *leaderLease
 	contact       quorumContact
 	proposingView atomic.Bool
+	// knownCommandBase is the last state of the leader that this node was told.
+	knownCommandBase atomic.Pointer[messages.CommandBase]
 	// handlingOffer ensures that offers of several agents are handled one at a time.
 	handlingOffer atomic.Bool
 	viewRound     atomic.Uint64
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -48,10 +48,11 @@
 	return name, nil
 }
 
-func (n *node) startRolloutEndpoint(_ context.Context, request any) (any, error) {
+func (n *node) startRolloutEndpoint(ctx context.Context, request any) (any, error) {
 	command := request.(rolloutRequest)
-	in := messages.StartRollout{Service: command.Service, Target: command.TargetVersion, Duration: int64(command.Duration)}
-	return struct{}{}, n.callLeader(messages.KindStartRollout, in)
+	return struct{}{}, n.callLeader(messages.KindStartRollout, httpCaller{ctx}, func(base *messages.CommandBase) any {
+		return messages.StartRollout{Service: command.Service, Target: command.TargetVersion, Duration: int64(command.Duration), Base: base}
+	})
 }
 
 // RolloutState is the state of a rollout in the operator API.
--- a/internal/control/staged.go
+++ b/internal/control/staged.go
@@ -47,12 +47,20 @@
 	return r.PathValue("name"), nil
 }
 
-func (n *node) startStagedEndpoint(_ context.Context, request any) (any, error) {
-	return struct{}{}, n.callLeader(messages.KindStagedChange, request)
+func (n *node) startStagedEndpoint(ctx context.Context, request any) (any, error) {
+	return struct{}{}, n.callStaged(ctx, request.(messages.StagedChange))
 }
 
-func (n *node) haltStagedEndpoint(_ context.Context, request any) (any, error) {
-	return struct{}{}, n.callLeader(messages.KindStagedChange, messages.StagedChange{Name: request.(string), Halt: true})
+func (n *node) haltStagedEndpoint(ctx context.Context, request any) (any, error) {
+	return struct{}{}, n.callStaged(ctx, messages.StagedChange{Name: request.(string), Halt: true})
+}
+
+// callStaged forwards an operator's command for a staged change to the leader.
+func (n *node) callStaged(ctx context.Context, command messages.StagedChange) error {
+	return n.callLeader(messages.KindStagedChange, httpCaller{ctx}, func(base *messages.CommandBase) any {
+		command.Base = base
+		return command
+	})
 }
 
 // StagedState is the state of a staged change in the operator API. Evidence is empty if
--- a/internal/control/staged_coordinator.go
+++ b/internal/control/staged_coordinator.go
@@ -25,7 +25,7 @@
 )
 
 func (n *node) onStagedChange(in messages.StagedChange, reply func(messages.OrderResponse)) {
-	n.runCommand(reply, func(c *coordinator) (apierror.Kind, string) {
+	n.runCommand(in.Base, reply, func(c *coordinator) (apierror.Kind, string) {
 		if in.Halt {
 			return c.haltStagedChange(in)
 		}
--- a/internal/standin/late_orders_test.go
+++ b/internal/standin/late_orders_test.go
@@ -14,6 +14,8 @@
 		frozenFor = 3 * time.Second
 		services  = `{"Upsert":{"Services":[{"Name":"lessons","Revision":"r1"}]}}`
 		drop      = `{"Remove":{"Routes":[{"Name":"first","Revision":"r2"}]}}`
+		rollout   = `{"Service":"later","TargetVersion":"v2","Duration":"30s"}`
+		later     = `{"Upsert":{"Services":[{"Name":"later","Revision":"r1"}]}}`
 	)
 	route := func(name string) string {
 		return fmt.Sprintf(`{"Upsert":{"VirtualHosts":[{"Hostname":"h.example","PathTable":[{"Name":%q,"PathPrefix":"/place/","RouteType":"safe","Timeout":"1s","Service":"lessons","Revision":"r1"}]}]}}`, name)
@@ -70,4 +72,22 @@
 		Entry("where it led and the order was forwarded to it", true),
 		Entry("where it followed and the order waited in its socket", false),
 	)
+
+	// Guards against a rollout that starts though the operator was told that its service does not exist.
+	It("starts no rollout that the leader rejected meanwhile", func() {
+		frozen := chosen(false)
+		other := others(frozen)[0]
+		core.freeze(frozen)
+		stopped := time.Now()
+		Expect(core.post(frozen, "/v1/rollouts/start", rollout)).To(BeZero())
+		Eventually(func() int { return core.post(other, "/v1/rollouts/start", rollout) }).Should(Equal(http.StatusNotFound))
+		modify(other, later)
+		time.Sleep(time.Until(stopped.Add(frozenFor)))
+		core.wake(frozen)
+		for woken := time.Now(); time.Since(woken) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+			code, text := core.get(other, "/v1/rollouts/later/read")
+			Expect(code).NotTo(Equal(http.StatusOK), "%s", text)
+		}
+		Eventually(func() int { return core.post(frozen, "/v1/rollouts/start", rollout) }).Should(Equal(http.StatusOK))
+	})
 })
