sites: leases leave room for the site's own requests though it is idle when it reports

Cause: a node reports the requests in flight at one moment, and the allocator took that as the site's own load; 0 at that moment leased 15 of 16 slots to others, and the site's own requests need no lease. Change: nodes also report the average and the peak since their last report, which the allocator counts.

Failed before: sites_test.go "keeps the slots of the last burst free, though the site is idle whenever it reports", 19 of 16.

--- a/internal/sites/allocator.go
+++ b/internal/sites/allocator.go
@@ -16,6 +16,10 @@
 	// Site is the site of the servers, or empty for requests that found no slot.
 	Site     string `cbor:"2,keyasint,omitempty"`
 	InFlight int    `cbor:"3,keyasint,omitempty"`
+	// Average and Peak are the requests in flight on average and at most since the previous
+	// report. Nodes of older builds don't report them.
+	Average float64 `cbor:"5,keyasint,omitempty"`
+	Peak    int     `cbor:"6,keyasint,omitempty"`
 	// Wanted is the number of further slots the node could use, if Site is empty.
 	Wanted int `cbor:"4,keyasint,omitempty"`
 }
@@ -54,6 +58,8 @@
 	site       string
 	reportedAt clock.Instant
 	inFlight   map[Key]int
+	averages   map[Key]float64
+	peaks      map[Key]int
 	leases     map[Key]int
 	expiresAt  clock.Instant
 }
@@ -95,14 +101,17 @@
 		state = &nodeState{}
 		a.nodes[node] = state
 	}
-	state.site, state.reportedAt, state.inFlight, state.leases, state.expiresAt = site, now, map[Key]int{}, nil, 0
+	*state = nodeState{site: site, reportedAt: now, inFlight: map[Key]int{}, averages: map[Key]float64{}, peaks: map[Key]int{}}
 	wanted := map[string]int{}
 	for _, usage := range usages {
 		if usage.Site == "" {
 			wanted[usage.Service] += usage.Wanted
 			continue
 		}
-		state.inFlight[Key{usage.Service, usage.Site}] += usage.InFlight
+		key := Key{usage.Service, usage.Site}
+		state.inFlight[key] += usage.InFlight
+		state.averages[key] += usage.Average
+		state.peaks[key] += usage.Peak
 		if usage.Site != site {
 			wanted[usage.Service] += usage.InFlight
 		}
@@ -138,15 +147,20 @@
 	return leases
 }
 
-// freeSlots returns the slots at a site that are left for a node beside all others.
+// freeSlots returns the slots at a site that are left for a node beside all others. The
+// requests in flight at the last reports are a sample, taken when the site may have been
+// idle for a moment: its average load, and the peak of each of its nodes, count as well.
 func (a *Allocator) freeSlots(key Key, node string) int {
 	now, ownLoad, reserved := a.clock.Monotonic(), 0, 0
+	ownAverage, ownPeak := 0.0, 0
 	for name, state := range a.nodes {
 		switch {
 		case now-state.reportedAt > clock.Instant(reportTimeout):
 			delete(a.nodes, name)
 		case state.site == key.Site:
 			ownLoad += state.inFlight[key]
+			ownAverage += state.averages[key]
+			ownPeak = max(ownPeak, state.peaks[key])
 		case name != node:
 			if now < state.expiresAt {
 				reserved += max(state.inFlight[key], state.leases[key])
@@ -155,16 +169,22 @@
 			}
 		}
 	}
-	return spareCapacity(a.capacity[key], ownLoad) - reserved
+	if ownAverage > 0 {
+		ownLoad = int(math.Round(ownAverage))
+	}
+	return min(spareCapacity(a.capacity[key], ownLoad), usableSlots(a.capacity[key])-ownPeak) - reserved
 }
 
 // spareCapacity returns the usable capacity that a site's own load and its variation
 // leave to other sites. It may be negative.
 func spareCapacity(capacity, ownLoad int) int {
 	headroom := int(math.Ceil(ownLoadDeviations * math.Sqrt(float64(ownLoad))))
-	return int(usableCapacity*float64(capacity)) - ownLoad - headroom
+	return usableSlots(capacity) - ownLoad - headroom
 }
 
+// usableSlots returns the slots of a capacity that may be relied on.
+func usableSlots(capacity int) int { return int(usableCapacity * float64(capacity)) }
+
 // SpareCapacity returns how many slots of a site with the given capacity and own load
 // may be leased to other sites.
 func SpareCapacity(capacity, ownLoad int) int { return max(0, spareCapacity(capacity, ownLoad)) }
--- a/internal/sites/node_leases.go
+++ b/internal/sites/node_leases.go
@@ -15,6 +15,8 @@
 	leases    map[Key]int
 	expiresAt clock.Instant
 	inFlight  map[Key]int
+	// averages holds the requests in flight over the time since the last report.
+	averages map[Key]*average
 	// rejected sums, by service, the usual latencies of the requests that found no
 	// slot.
 	rejected map[string]time.Duration
@@ -24,7 +26,7 @@
 
 // NewNodeLeases returns an empty set of leases.
 func NewNodeLeases(clock clock.Clock) *NodeLeases {
-	return &NodeLeases{clock: clock, leases: map[Key]int{}, inFlight: map[Key]int{}, rejected: map[string]time.Duration{}, reportedAt: clock.Monotonic()}
+	return &NodeLeases{clock: clock, leases: map[Key]int{}, inFlight: map[Key]int{}, averages: map[Key]*average{}, rejected: map[string]time.Duration{}, reportedAt: clock.Monotonic()}
 }
 
 // Apply replaces the leases by those in the reply to the report sent at sentAt. Replies
@@ -73,16 +75,41 @@
 	if !unleased && !l.hasSlot(key, share) {
 		return nil, false
 	}
-	l.inFlight[key]++
+	l.count(key, 1)
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if l.inFlight[key]--; l.inFlight[key] <= 0 {
-			delete(l.inFlight, key)
-		}
+		l.count(key, -1)
 	}, true
 }
 
+// count changes the number of requests in flight.
+func (l *NodeLeases) count(key Key, step int) {
+	held := l.averages[key]
+	if held == nil {
+		held = &average{countedAt: l.reportedAt}
+		l.averages[key] = held
+	}
+	held.add(l.inFlight[key], l.clock.Monotonic())
+	if l.inFlight[key] += step; l.inFlight[key] <= 0 {
+		delete(l.inFlight, key)
+	}
+	held.peak = max(held.peak, l.inFlight[key])
+}
+
+// average sums a number of requests over the time since the last report.
+type average struct {
+	countedAt clock.Instant
+	sum       time.Duration
+	peak      int
+}
+
+// add counts a number that held from the last call until now.
+func (a *average) add(requests int, now clock.Instant) {
+	a.sum += time.Duration(requests) * time.Duration(now-a.countedAt)
+	a.countedAt = now
+}
+
 // RecordRejection records a request that found no slot, with the latency it would have
 // had.
 func (l *NodeLeases) RecordRejection(service string, usualLatency time.Duration) {
@@ -91,16 +118,23 @@
 	l.rejected[service] += usualLatency
 }
 
-// Usages returns the content of a report: all requests in flight, and how many more
-// slots could have been used since the previous report.
+// Usages returns the content of a report: all requests in flight now and since the
+// previous report, and how many more slots could have been used since then.
 func (l *NodeLeases) Usages() (usages []Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for key, count := range l.inFlight {
-		usages = append(usages, Usage{Service: key.Service, Site: key.Site, InFlight: count})
-	}
 	now := l.clock.Monotonic()
 	span := max(time.Duration(now-l.reportedAt), time.Millisecond)
+	for key, held := range l.averages {
+		held.add(l.inFlight[key], now)
+		usages = append(usages, Usage{
+			Service: key.Service, Site: key.Site, InFlight: l.inFlight[key], Average: float64(held.sum) / float64(span), Peak: held.peak,
+		})
+	}
+	clear(l.averages)
+	for key, count := range l.inFlight {
+		l.averages[key] = &average{countedAt: now, peak: count}
+	}
 	for service, latency := range l.rejected {
 		usages = append(usages, Usage{Service: service, Wanted: int(math.Ceil(float64(latency) / float64(span)))})
 	}
--- a/internal/sites/sites_test.go
+++ b/internal/sites/sites_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"ploverhitch/internal/clock"
 	"ploverhitch/internal/sites"
 )
 
@@ -124,3 +125,52 @@
 		}
 	})
 })
+
+var _ = Describe("a site whose own requests come in bursts", func() {
+	const capacity, burst = 16, 4
+	var clk *clock.Manual
+	var allocator *sites.Allocator
+	var own, other *sites.NodeLeases
+
+	// report passes a node's usages to the allocator and its leases back.
+	report := func(name, site string, leases *sites.NodeLeases) {
+		sentAt := clk.Monotonic()
+		leases.Apply(allocator.HandleReport(name, site, leases.Usages()), sentAt)
+	}
+	acquire := func(leases *sites.NodeLeases, localSite string, count int) (releases []func()) {
+		for range count {
+			if release, acquired := leases.Acquire("s", "b", localSite, 1); acquired {
+				releases = append(releases, release)
+			}
+		}
+		return releases
+	}
+
+	// Guards against leases that leave no room for a site's own requests because none was in flight at the moment of its report.
+	It("keeps the slots of the last burst free, though the site is idle whenever it reports", func() {
+		clk = &clock.Manual{Now: time.Hour}
+		tree, err := sites.Build(regions, nil)
+		Expect(err).NotTo(HaveOccurred())
+		allocator = sites.NewAllocator(tree, clk)
+		allocator.Update(tree, map[sites.Key]int{{Service: "s", Site: "b"}: capacity})
+		own, other = sites.NewNodeLeases(clk), sites.NewNodeLeases(clk)
+		clk.Sleep(2 * sites.LeaseDuration)
+		for range 20 {
+			for _, release := range acquire(own, "b", burst) {
+				release()
+			}
+			clk.Sleep(300 * time.Millisecond)
+			report("own", "b", own)
+			for range capacity {
+				other.RecordRejection("s", time.Second)
+			}
+			report("other", "a", other)
+			used := acquire(other, "a", capacity)
+			Expect(len(used) + burst).To(BeNumerically("<=", capacity))
+			Expect(used).NotTo(BeEmpty())
+			for _, release := range used {
+				release()
+			}
+		}
+	})
+})
