registry: an order is judged only by the past configurations that a related change separates

While there is a mirror, or a change touched a site, plan or mirror, each configuration is checked as before.

--- a/internal/control/call.go
+++ b/internal/control/call.go
@@ -130,7 +130,7 @@
 // command returns the command with its base. The caller is asked for after the base is
 // known: whoever tells the caller later that the command is rejected does so after that
 // state of the leader.
-func (n *node) callLeader(kind rpc.Kind, caller caller, command func(base *messages.CommandBase) any) error {
+func (n *node) callLeader(kind rpc.Kind, caller orderCaller, command func(base *messages.CommandBase) any) error {
 	for range maxCommandAttempts {
 		base := n.lastCommandBase()
 		if caller.HasLeft() {
--- a/internal/control/caller.go
+++ b/internal/control/caller.go
@@ -13,10 +13,10 @@
 // errAbandoned ends an order whose caller no longer waits for the response.
 var errAbandoned = apierror.New(apierror.ControlPlaneUnavailable, "the caller no longer waits for the response")
 
-// caller is whoever gave an order and waits for the response. A node passes an order on
+// orderCaller is whoever gave an order and waits for the response. A node passes an order on
 // only while its caller waits: a caller that has left may have been told by another node
 // that the order is rejected.
-type caller interface {
+type orderCaller interface {
 	// HasLeft reports whether the caller no longer waits.
 	HasLeft() bool
 }
--- a/internal/control/config_replicator.go
+++ b/internal/control/config_replicator.go
@@ -35,10 +35,10 @@
 	noMajorityTimeout = 400 * time.Millisecond
 )
 
-// base is a configuration that was decided while the caller of an order still waited for
+// orderBase is a configuration that was decided while the caller of an order still waited for
 // the response: whoever rejects the order later does so for this configuration or a newer
 // one. learntAt is when the node that received the order learnt the index.
-type base struct {
+type orderBase struct {
 	index    registry.Index
 	learntAt time.Time
 }
@@ -47,7 +47,7 @@
 // that don't send one leave out, it is judged only by the newest configuration.
 type proposal struct {
 	items    []config.Item
-	base     *base
+	base     *orderBase
 	deadline clock.Instant
 	result   chan proposalResult
 }
@@ -108,7 +108,7 @@
 }
 
 // submit queues a proposal at this node and waits for its result.
-func (r *configReplicator) submit(items []config.Item, base *base) (registry.Index, error) {
+func (r *configReplicator) submit(items []config.Item, base *orderBase) (registry.Index, error) {
 	p := &proposal{items: items, base: base, deadline: r.node.clock.Monotonic() + clock.Instant(proposeTimeout), result: make(chan proposalResult, 1)}
 	select {
 	case r.queue <- p:
--- a/internal/control/modify.go
+++ b/internal/control/modify.go
@@ -25,7 +25,7 @@
 // order is a change of configuration items on its way to a decision.
 type order struct {
 	items  []config.Item
-	caller caller
+	caller orderCaller
 	// head is the highest index that a member has named.
 	head registry.Index
 }
@@ -33,7 +33,7 @@
 // modify applies a change of configuration items. It returns nil once a majority has
 // accepted the change that contains the items, or has confirmed that they are already
 // part of the configuration.
-func (n *node) modify(items []config.Item, caller caller) error {
+func (n *node) modify(items []config.Item, caller orderCaller) error {
 	_, err := n.commit(&order{items: items, caller: caller})
 	return err
 }
@@ -70,17 +70,17 @@
 	return 0, errUndecided
 }
 
-// newBase returns the newest base that this node knows for the order, and whether the caller
+// newBase returns the newest orderBase that this node knows for the order, and whether the caller
 // has left. It asks for the caller after it has read the index: whoever tells the caller
 // later that the order is rejected judges it by this configuration or a newer one.
-func (n *node) newBase(o *order) (newest base, hasLeft bool) {
-	newest = base{index: o.head, learntAt: n.clock.Wall()}
+func (n *node) newBase(o *order) (newest orderBase, hasLeft bool) {
+	newest = orderBase{index: o.head, learntAt: n.clock.Wall()}
 	n.store.read(func(t *tables) { newest.index = max(newest.index, t.registry.Index) })
 	return newest, o.caller.HasLeft()
 }
 
 // propose proposes items at this node or forwards them to another member.
-func (n *node) propose(member string, items []config.Item, base base) (registry.Index, error) {
+func (n *node) propose(member string, items []config.Item, base orderBase) (registry.Index, error) {
 	if member == n.self {
 		return n.configReplicator.submit(items, &base)
 	}
--- a/internal/control/registry/batch.go
+++ b/internal/control/registry/batch.go
@@ -33,17 +33,16 @@
 	check   Check
 	draft   *Draft
 	set     *Set
-	// head is a draft on the set without the proposals of the batch, past are drafts on the
-	// sets from index oldest up to the one before it. All are made when they are needed.
-	head   *Draft
-	past   map[Index]*Draft
-	oldest Index
+	// head is a draft on the set without the proposals of the batch, past are drafts on
+	// earlier sets. All are made when they are needed.
+	head *Draft
+	past map[Index]*Draft
 }
 
 // NewBatch returns an empty batch for the change that follows the set, which is that of the
 // replica or, before the first change, the one that migration made of it.
 func (r *Replica) NewBatch(set *Set, check Check) *Batch {
-	return &Batch{replica: r, check: check, set: set, draft: set.Draft(check), past: map[Index]*Draft{}, oldest: set.Index}
+	return &Batch{replica: r, check: check, set: set, draft: set.Draft(check), past: map[Index]*Draft{}}
 }
 
 // Draft returns the draft of the proposals that were added.
@@ -75,39 +74,36 @@
 	return nil
 }
 
-// wasValidSince reports whether a proposal is known to be valid for all sets from the base
-// up to the one before the present one, or was accepted meanwhile.
+// wasValidSince reports whether a proposal that is valid for the present set is known to be
+// valid for all sets since the base, or was accepted meanwhile. A change that touches
+// nothing that the proposal has to do with leaves it as valid as it was before.
 func (b *Batch) wasValidSince(items []config.Item, base Index) bool {
 	if base == b.set.Index || b.draft.includes(items) {
 		return true
 	}
-	if !b.loadPast(base) {
+	if !b.replica.reaches(base) {
 		return false
 	}
-	for index := base; index < b.set.Index; index++ {
-		if b.past[index].Check(items) != nil {
+	footprint := config.FootprintOf(items)
+	checkEach := b.set.Items.HasMirrors()
+	for index := b.set.Index; index > base; index-- {
+		touched := b.replica.touchedBy(index)
+		checkEach = checkEach || touched.TouchesAll()
+		if !checkEach && footprint.IsIndependentOf(touched) {
+			continue
+		}
+		if b.pastDraft(index-1).Check(items) != nil {
 			return false
 		}
 	}
 	return true
 }
 
-// loadPast makes drafts on the sets since the base and reports whether all are known.
-func (b *Batch) loadPast(base Index) bool {
-	if base >= b.oldest && base < b.set.Index {
-		return true
-	}
-	sets, complete := b.replica.Past(base)
-	if !complete {
-		return false
+func (b *Batch) pastDraft(index Index) *Draft {
+	if b.past[index] == nil {
+		b.past[index] = b.replica.pastSet(index).Draft(b.check)
 	}
-	for _, set := range sets {
-		if b.past[set.Index] == nil {
-			b.past[set.Index] = set.Draft(b.check)
-		}
-	}
-	b.oldest = base
-	return true
+	return b.past[index]
 }
 
 func (b *Batch) headDraft() *Draft {
--- a/internal/control/registry/batch_test.go
+++ b/internal/control/registry/batch_test.go
@@ -17,11 +17,15 @@
 func randomItem(random *rand.Rand) config.Item {
 	version := config.Version(random.IntN(12) + 1)
 	name := fmt.Sprint("r", random.IntN(4))
-	switch random.IntN(4) {
+	switch random.IntN(5) {
 	case 0:
 		return service(fmt.Sprint("s", random.IntN(3)), version)
 	case 1:
 		return removal(name, version)
+	case 2:
+		item := service(fmt.Sprint("s", random.IntN(3)), version)
+		item.Removed, item.Body = true, nil
+		return item
 	}
 	return route(name, version, fmt.Sprint("/p", random.IntN(3), "/"), fmt.Sprint("s", random.IntN(3)))
 }
@@ -75,11 +79,8 @@
 				_ = learn(replica, randomOrder(random))
 				contents[replica.Index] = contentOf(replica.Set)
 			}
-			sets, complete := replica.Past(0)
-			Expect(complete).To(BeTrue())
-			Expect(sets).To(HaveLen(int(replica.Index)))
-			for _, set := range sets {
-				Expect(contentOf(set)).To(Equal(contents[set.Index]), "seed %d, index %d", seed, set.Index)
+			for index := range replica.Index {
+				Expect(contentOf(registry.PastSet(replica, index))).To(Equal(contents[index]), "seed %d, index %d", seed, index)
 			}
 		}
 	})
--- a/internal/control/registry/draft.go
+++ b/internal/control/registry/draft.go
@@ -9,7 +9,8 @@
 )
 
 // Check validates the set that a proposal would produce. newer are the proposal's
-// items that take effect, unseen those that were not accepted before.
+// items that take effect, unseen those that were not accepted before. The result depends
+// on nothing else, and on other items only as config.Footprint says.
 type Check func(itemSet config.ItemSet, newer, unseen []config.Item) error
 
 // ConflictError reports that the version which a proposal gives to an item was
--- a/internal/control/registry/past.go
+++ b/internal/control/registry/past.go
@@ -12,11 +12,13 @@
 	maxUndoBytes   = 1 << 20
 )
 
-// undoRecord holds what one change replaced in the set.
+// undoRecord holds one change and what it replaced in the set.
 type undoRecord struct {
 	index    Index
 	replaced []replacedItem
-	size     int
+	// touched is what the items have to do with, before and after the change.
+	touched config.Footprint
+	size    int
 }
 
 // replacedItem is the state of one item before a change. existed is false if the set
@@ -41,10 +43,13 @@
 		*l = undoLog{}
 		return
 	}
-	next := undoRecord{index: change.Index}
+	next := undoRecord{index: change.Index, touched: config.FootprintOf(change.Items)}
 	for _, item := range change.Items {
 		current, existed := set.Items[item.ID]
 		next.replaced = append(next.replaced, replacedItem{id: item.ID, item: current, existed: existed, accepted: set.history[item.ID]})
+		if existed {
+			next.touched.Add(current)
+		}
 		next.size += approximateSize(current)
 	}
 	l.records = append(l.records, next)
@@ -83,20 +88,21 @@
 	return &Set{Index: s.Index, Items: s.Items.Clone(), history: maps.Clone(s.history), size: s.size}
 }
 
-// Past returns the sets from the base up to the one before the replica's, the newest first.
-// complete is false if the replica no longer has one of them, or has not reached the base.
-func (r *Replica) Past(base Index) (sets []*Set, complete bool) {
-	if base == r.Index {
-		return nil, true
-	}
-	if base > r.Index || !r.undo.reaches(base) {
-		return nil, false
-	}
-	set := r.Set
-	for i := len(r.undo.records) - 1; i >= 0 && r.undo.records[i].index > base; i-- {
-		set = set.clone()
+// pastSet returns the set at an index that the undo log reaches.
+func (r *Replica) pastSet(index Index) *Set {
+	set := r.Set.clone()
+	for i := len(r.undo.records) - 1; i >= 0 && r.undo.records[i].index > index; i-- {
 		r.undo.records[i].undo(set)
-		sets = append(sets, set)
 	}
-	return sets, true
+	return set
+}
+
+// reaches reports whether the replica has reached an index and still knows all changes since.
+func (r *Replica) reaches(index Index) bool {
+	return index == r.Index || index < r.Index && r.undo.reaches(index)
+}
+
+// touchedBy returns what the change with the index touched.
+func (r *Replica) touchedBy(index Index) config.Footprint {
+	return r.undo.records[index-r.undo.records[0].index].touched
 }
--- a/internal/control/round_transport.go
+++ b/internal/control/round_transport.go
@@ -109,11 +109,11 @@
 }
 
 // baseOf returns the base of a forwarded change, or nil if an older build sent it.
-func baseOf(in messages.Propose) *base {
+func baseOf(in messages.Propose) *orderBase {
 	if in.Base == nil {
 		return nil
 	}
-	return &base{index: *in.Base, learntAt: time.Unix(0, in.BaseTime)}
+	return &orderBase{index: *in.Base, learntAt: time.Unix(0, in.BaseTime)}
 }
 
 // orderResponse returns the response to a forwarded change.
