proxy: operators' queries that cannot be decoded are rejected, not dropped

The caller of such a query waited for its whole timeout; members reject such calls already. The handler that does so moved to rpc.TypedHandler, which both sides use.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -50,25 +50,15 @@
 	}
 }
 
-// typedHandler decodes the call's body as T and passes it to handle with a function
-// that sends the reply. A body that cannot be decoded is rejected.
+// typedHandler returns a handler that decodes calls as T, and counts and logs those that
+// cannot be decoded.
 func typedHandler[T, R any](n *node, handle func(in T, reply func(R))) func(rpc.Call) {
-	return func(call rpc.Call) {
-		var in T
-		if len(call.Body) > 0 {
-			if err := rpc.Decode(call.Body, &in); err != nil {
-				n.rejectUndecodable(call, err)
-				return
-			}
-		}
-		handle(in, func(out R) { call.Reply(out) })
-	}
+	return rpc.TypedHandler(handle, n.reportUndecodable)
 }
 
-// rejectUndecodable counts, logs and rejects a call whose body cannot be decoded.
-func (n *node) rejectUndecodable(call rpc.Call, err error) {
+// reportUndecodable counts and logs a call whose body cannot be decoded.
+func (n *node) reportUndecodable(call rpc.Call, err error) {
 	n.log("error", "a call cannot be decoded and is rejected", "kind", call.Kind, "bytes", len(call.Body), "count", n.undecodableCalls.Add(1), "error", err)
-	call.Reject(rpc.Undecodable)
 }
 
 func (n *node) onReserve(in messages.Reserve, reply func(messages.Vote)) {
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -110,22 +110,21 @@
 		return nil, errors.Annotate(err, "listening on the operator address")
 	}
 	go rpc.Serve(listener, rpc.Handlers{
-		messages.KindMoves:       replyWith(p.plannedMoves),
-		messages.KindLookupHomes: replyWith(p.ringHomes),
-		messages.KindProxyStatus: replyWith(p.nodeStatus),
+		messages.KindMoves:       replyWith(p, p.plannedMoves),
+		messages.KindLookupHomes: replyWith(p, p.ringHomes),
+		messages.KindProxyStatus: replyWith(p, p.nodeStatus),
 
-		messages.KindMirrorStatus: replyWith(p.mirrorStatus),
+		messages.KindMirrorStatus: replyWith(p, p.mirrorStatus),
 	}, controlSilenceTimeout)
 	return listener, nil
 }
 
-// replyWith makes a call handler from a function. It ignores calls with a malformed
-// body.
-func replyWith[T, R any](answer func(T) R) func(rpc.Call) {
-	return func(call rpc.Call) {
-		var request T
-		if len(call.Body) == 0 || rpc.Decode(call.Body, &request) == nil {
-			call.Reply(answer(request))
-		}
-	}
+// replyWith makes a call handler from a function. Calls that cannot be decoded are logged
+// and rejected.
+func replyWith[T, R any](p *proxy, answer func(T) R) func(rpc.Call) {
+	return rpc.TypedHandler(func(in T, reply func(R)) { reply(answer(in)) }, p.reportUndecodable)
+}
+
+func (p *proxy) reportUndecodable(call rpc.Call, err error) {
+	p.log("error", "a query cannot be decoded and is rejected", "kind", call.Kind, "bytes", len(call.Body), "error", err)
 }
