rpc, bounded: frame lengths and bounded numbers are written in one place each

encodeRejection framed its message beside encodeFrame, Count held YAML numbers by an expression that decodeWhole has.

--- a/internal/bounded/number.go
+++ b/internal/bounded/number.go
@@ -30,7 +30,7 @@
 	if math.IsNaN(number) {
 		return errors.NotValidf("number NaN")
 	}
-	*c = Count(min(max(number, -float64(MaxCount)), float64(MaxCount)))
+	*c = wholeOf(number, MaxCount)
 	return nil
 }
 
@@ -63,10 +63,15 @@
 		*out = T(min(max(whole, -int64(limit)), int64(limit)))
 		return nil
 	}
-	*out = T(min(max(parseFloat(number), -float64(limit)), float64(limit)))
+	*out = wholeOf(parseFloat(number), limit)
 	return nil
 }
 
+// wholeOf returns a number without its fraction, held between -limit and limit.
+func wholeOf[T ~int | ~int64](number float64, limit T) T {
+	return T(min(max(number, -float64(limit)), float64(limit)))
+}
+
 // readNumber returns the JSON number in the text. As usual in JSON decoding, null changes nothing: it gives no number.
 func readNumber(text []byte) (number json.Number, err error) {
 	if string(text) == "null" {
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -69,7 +69,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &outgoingFrame{header: append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)}, nil
+	return newOutgoingFrame(data, nil), nil
+}
+
+// newOutgoingFrame returns a frame with its length in front.
+func newOutgoingFrame(header, body []byte) *outgoingFrame {
+	out := make([]byte, 4, 4+len(header))
+	binary.BigEndian.PutUint32(out, uint32(len(header)+len(body)))
+	return &outgoingFrame{header: append(out, header...), body: body}
 }
 
 func encodeFrame(number uint64, kind Kind, body any) (*outgoingFrame, error) {
@@ -94,9 +101,7 @@
 		data[0]++
 		data = append(data, bodyKey)
 	}
-	out := make([]byte, 4, 4+len(data))
-	binary.BigEndian.PutUint32(out, uint32(len(data)+len(shared)))
-	return &outgoingFrame{header: append(out, data...), body: shared}, nil
+	return newOutgoingFrame(data, shared), nil
 }
 
 // bodyKey is the CBOR encoding of the frame's map key for its body.
