control: a node remembers the index that a member named, and a stale order costs no round

A node outside of the view is told of no changes, so each of its orders named an old base, which cost a round at the member and a second send where the order hangs on what changed since. Now it names the index that a member has named last, and a member whose own configuration shows that the base is too old says so before it starts a round. After a stale answer the base is the named index even where it is below the node's own, as after the loss of all disks.

--- a/internal/control/config_replicator.go
+++ b/internal/control/config_replicator.go
@@ -35,14 +35,6 @@
 	noMajorityTimeout = 400 * time.Millisecond
 )
 
-// orderBase is a configuration that was decided while the caller of an order still waited for
-// the response: whoever rejects the order later does so for this configuration or a newer
-// one. learntAt is when the node that received the order learnt the index.
-type orderBase struct {
-	index    registry.Index
-	learntAt time.Time
-}
-
 // proposal is a set of items that waits for a decision. Without a base, which builds
 // that don't send one leave out, it is judged only by the newest configuration.
 type proposal struct {
--- a/internal/control/modify.go
+++ b/internal/control/modify.go
@@ -22,14 +22,6 @@
 // a newer base.
 const maxProposeAttempts = 3
 
-// order is a change of configuration items on its way to a decision.
-type order struct {
-	items  []config.Item
-	caller orderCaller
-	// head is the highest index that a member has named.
-	head registry.Index
-}
-
 // modify applies a change of configuration items. It returns nil once a majority has
 // accepted the change that contains the items, or has confirmed that they are already
 // part of the configuration.
@@ -65,17 +57,21 @@
 			return index, err
 		}
 		n.log("info", "an order is proposed again", "member", member, "base", base.index, "head", stale.Head)
-		o.head = max(o.head, stale.Head)
+		o.head = &stale.Head
 	}
 	return 0, errUndecided
 }
 
-// newBase returns the newest orderBase that this node knows for the order, and whether the caller
+// newBase returns the newest base that this node knows for the order, and whether the caller
 // has left. It asks for the caller after it has read the index: whoever tells the caller
 // later that the order is rejected judges it by this configuration or a newer one.
 func (n *node) newBase(o *order) (newest orderBase, hasLeft bool) {
-	newest = orderBase{index: o.head, learntAt: n.clock.Wall()}
-	n.store.read(func(t *tables) { newest.index = max(newest.index, t.registry.Index) })
+	newest = orderBase{learntAt: n.clock.Wall()}
+	if o.head != nil {
+		newest.index = *o.head
+	} else {
+		n.store.read(func(t *tables) { newest.index = max(n.knownIndex.Load(), t.registry.Index) })
+	}
 	return newest, o.caller.HasLeft()
 }
 
@@ -89,10 +85,12 @@
 	if n.call(member, messages.KindPropose, message, &result, forwardTimeout) != nil {
 		return 0, errUndecided
 	}
+	index := registry.Index(result.Index)
+	n.knownIndex.note(index)
 	if result.IsStale {
-		return 0, &registry.StaleError{Head: registry.Index(result.Index)}
+		return 0, &registry.StaleError{Head: index}
 	}
-	return registry.Index(result.Index), resultError(result)
+	return index, resultError(result)
 }
 
 // isUnavailable reports whether an error leaves the outcome of an order open.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -58,6 +58,9 @@
 	proposingView atomic.Bool
 	// knownCommandBase is the last state of the leader that this node was told.
 	knownCommandBase atomic.Pointer[messages.CommandBase]
+	// knownIndex is the index of the configuration that a member has named last: a node
+	// outside of the view is told of no changes.
+	knownIndex lastIndex
 	// handlingOffer ensures that offers of several agents are handled one at a time.
 	handlingOffer atomic.Bool
 	viewRound     atomic.Uint64
--- a/internal/control/round_draft.go
+++ b/internal/control/round_draft.go
@@ -62,6 +62,23 @@
 	return batch.Add(p.items, p.base.index)
 }
 
+// checkBase returns a StaleError if this node's configuration shows already that an order
+// needs a newer base, so that no round is spent on it.
+func (n *node) checkBase(items []config.Item, base *orderBase) (err error) {
+	var stale *registry.StaleError
+	n.store.read(func(t *tables) {
+		if base == nil || base.index >= t.registry.Index {
+			return
+		}
+		draft := &roundDraft{node: n}
+		err = draft.add(t.registry.NewBatch(t.registry.Set, draft.check), &proposal{items: items, base: base})
+	})
+	if errors.As(err, &stale) {
+		return err
+	}
+	return nil
+}
+
 func (d *roundDraft) check(configuration config.ItemSet, newer, unseen []config.Item) error {
 	return d.node.checkProposal(configuration, newer, unseen, d.checkTime)
 }
--- a/internal/control/round_transport.go
+++ b/internal/control/round_transport.go
@@ -103,7 +103,12 @@
 // onPropose proposes a change on behalf of another node.
 func (n *node) onPropose(in messages.Propose, reply func(messages.OrderResponse)) {
 	go func() {
-		index, err := n.configReplicator.submit(in.Items, baseOf(in))
+		base := baseOf(in)
+		if err := n.checkBase(in.Items, base); err != nil {
+			reply(orderResponse(0, err))
+			return
+		}
+		index, err := n.configReplicator.submit(in.Items, base)
 		reply(orderResponse(index, err))
 	}()
 }
