proxy: no acknowledged timeout closes every client's connection

Change: neither HeaderTimeout nor IdleTimeout is applied below 0.5 s; what is read back is what was sent.

--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"ploverhitch/internal/clock"
 )
 
 // clientListener accepts client connections and applies the configured header and idle
@@ -64,14 +66,20 @@
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
+// minClientTimeout is the shortest header or idle timeout that is applied. With one that
+// is shorter than a header takes on its way, no client would get an answer.
+const minClientTimeout = 500 * time.Millisecond
+
 // clientTimeouts returns the header and idle timeouts for client connections.
 func (p *proxy) clientTimeouts() (header, idle time.Duration) {
 	limits := p.snapshot.Load().routingTable.Limits
-	if header = limits.HeaderTimeout.Std(); header == 0 {
-		header = defaultHeaderTimeout
-	}
-	if idle = limits.IdleTimeout.Std(); idle == 0 {
-		idle = defaultIdleTimeout
+	return clientTimeout(limits.HeaderTimeout, defaultHeaderTimeout), clientTimeout(limits.IdleTimeout, defaultIdleTimeout)
+}
+
+// clientTimeout returns the timeout to apply for a configured one.
+func clientTimeout(configured clock.Duration, whenUnset time.Duration) time.Duration {
+	if configured == 0 {
+		return whenUnset
 	}
-	return header, idle
+	return max(configured.Std(), minClientTimeout)
 }
