--- a/internal/standin/core_test.go
+++ b/internal/standin/core_test.go
@@ -37,6 +37,8 @@
 // controlCore is a core of three control processes on loopback.
 type controlCore struct {
 	town     *standin.Town
+	binary   string
+	settings map[int]string
 	programs map[int]*exec.Cmd
 	// client waits for a response as long as an operator does.
 	client *http.Client
@@ -50,24 +52,35 @@
 	folder, err := os.MkdirTemp(diskPlace(), "town")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, folder)
-	core := &controlCore{programs: map[int]*exec.Cmd{}, client: &http.Client{Timeout: time.Second}}
+	core := &controlCore{
+		binary: binary, settings: map[int]string{}, programs: map[int]*exec.Cmd{}, client: &http.Client{Timeout: time.Second},
+	}
 	core.town, err = standin.NewTown(folder, firstPort, map[string]string{"l-1": "lessons"})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(core.town.Close)
 	for number := 1; number <= 3; number++ {
 		machine, err := core.town.Core(number, true)
 		Expect(err).NotTo(HaveOccurred())
-		program := exec.Command(binary, "--settings", machine.Settings, "control")
-		Expect(program.Start()).To(Succeed())
-		DeferCleanup(func() {
-			_ = program.Process.Kill()
-			_ = program.Wait()
-		})
-		core.programs[number] = program
+		core.settings[number] = machine.Settings
+		core.start(number)
+		DeferCleanup(core.kill, number)
 	}
 	return core
 }
 
+// start starts a member's process.
+func (c *controlCore) start(number int) {
+	program := exec.Command(c.binary, "--settings", c.settings[number], "control")
+	Expect(program.Start()).To(Succeed())
+	c.programs[number] = program
+}
+
+// kill ends a member's process at once and waits until it is gone.
+func (c *controlCore) kill(number int) {
+	_ = c.programs[number].Process.Kill()
+	_ = c.programs[number].Wait()
+}
+
 func (c *controlCore) get(number int, path string) (int, []byte) {
 	response, err := c.client.Get("http://" + c.town.Control(number) + path)
 	if err != nil {
