control: one bad entry of the platform's list costs one entry, not the list

An entry with a field of another kind made its page, and so each reading of the list, fail: nobody noticed servers that leave. Cause: a page was decoded as one value. Change: where that fails, its entries are decoded one by one; one that can't be counts as missing and is named in the log.

--- a/internal/control/list_poller.go
+++ b/internal/control/list_poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ploverhitch/internal/clock"
@@ -36,6 +37,8 @@
 	}
 	// progressSentAt is when this node last reported to the members that a read is in progress.
 	progressSentAt clock.Instant
+	// unreadable describes the entries that could not be decoded in the last complete read.
+	unreadable []string
 }
 
 // pollPlatform polls the platform's list until the context ends.
@@ -78,6 +81,7 @@
 		p.recordResult(err)
 	}
 	if err == nil {
+		p.logUnreadable(read.unreadable)
 		if leading {
 			p.coordinator.loop.Offer(func() { p.coordinator.updateServers(read.servers) })
 		}
@@ -88,6 +92,17 @@
 	return min(delay, readCheckInterval)
 }
 
+// logUnreadable logs the entries that cannot be decoded when they are others than before.
+func (p *listPoller) logUnreadable(entries []string) {
+	if slices.Equal(entries, p.unreadable) {
+		return
+	}
+	p.unreadable = entries
+	for _, entry := range entries {
+		p.log("error", "an entry of the platform's server list cannot be decoded and counts as missing", "entry", entry)
+	}
+}
+
 // nextPageDelay is the time after the end of a read within which the next page must be read,
 // by this node or by another leader in its place, at the leader's share of the rate limit.
 func (p *listPoller) nextPageDelay() time.Duration {
--- a/internal/control/list_reader.go
+++ b/internal/control/list_reader.go
@@ -28,6 +28,8 @@
 // listResult is the result of one read of the whole list.
 type listResult struct {
 	servers []feed.Server
+	// unreadable describes the entries that could not be decoded.
+	unreadable []string
 	// calls is the number of calls made, without those of a read that this one resumes.
 	calls int
 	// started is when the first pages were requested.
@@ -39,6 +41,8 @@
 	pageKey
 	servers  []feed.Server
 	complete bool
+	// unreadable describes the entries that could not be decoded.
+	unreadable []string
 	// failedBefore is set if the next page failed in the last read.
 	failedBefore bool
 }
@@ -134,6 +138,7 @@
 	}
 	for _, zone := range progress {
 		out.servers = append(out.servers, zone.servers...)
+		out.unreadable = append(out.unreadable, zone.unreadable...)
 	}
 	if len(progress) > 1 && float64(len(out.servers)) < minKnownFraction*float64(known) {
 		r.zonesUnknown = true
@@ -188,6 +193,7 @@
 	}
 	zone, next := received.zone, received.result.page.NextToken
 	zone.servers, zone.failedBefore = append(zone.servers, servers...), false
+	zone.unreadable = append(zone.unreadable, received.result.page.unreadable...)
 	if zone.complete = next == nil || *next == ""; !zone.complete {
 		zone.token = *next
 	}
--- a/internal/control/list_reader_test.go
+++ b/internal/control/list_reader_test.go
@@ -57,6 +57,25 @@
 		expectWhole(reader, pages)
 	})
 
+	// Guards against one entry with a field of another kind that makes the whole list unreadable.
+	DescribeTable("leaves out an entry that cannot be decoded, and names it", func(entry, named string) {
+		reader := platform(func(_ int64, w http.ResponseWriter, r *http.Request) bool {
+			if r.URL.Query().Get("PageToken") != "2" {
+				return false
+			}
+			_, _ = fmt.Fprintf(w, `{"Instances":[%s,{"InstanceId":"i-2","Service":"fees","State":"ready","Capacity":2}],"NextToken":"3"}`, entry)
+			return true
+		})
+		expectWhole(reader, pages)
+		read, err := reader.read(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.unreadable).To(ConsistOf(ContainSubstring(named)))
+	},
+		Entry("with a text as its capacity", `{"InstanceId":"i-bad","Service":"fees","State":"ready","Capacity":"many"}`, "i-bad: number"),
+		Entry("with a number as its address", `{"InstanceId":"i-bad","Address":7}`, "i-bad: json"),
+		Entry("that is no object", `[]`, "cannot unmarshal array"),
+	)
+
 	It("hedges a call that hangs and does not wait for it", func() {
 		reader := platform(func(call int64, _ http.ResponseWriter, r *http.Request) bool { return call == 2 && hang(r) })
 		began := time.Now()
--- a/internal/control/page_client.go
+++ b/internal/control/page_client.go
@@ -33,6 +33,32 @@
 type listPage struct {
 	Instances []listedInstance `json:"Instances"`
 	NextToken *string          `json:"NextToken"`
+	// unreadable describes the entries that could not be decoded.
+	unreadable []string
+}
+
+// decodeListPage decodes a page. An entry that cannot be decoded is left out.
+func decodeListPage(body []byte) (page listPage, err error) {
+	if json.Unmarshal(body, &page) == nil {
+		return page, nil
+	}
+	var raw struct {
+		Instances []json.RawMessage `json:"Instances"`
+		NextToken *string           `json:"NextToken"`
+	}
+	if err = json.Unmarshal(body, &raw); err != nil {
+		return listPage{}, errors.Trace(err)
+	}
+	page = listPage{NextToken: raw.NextToken}
+	for _, text := range raw.Instances {
+		var entry listedInstance
+		if err := json.Unmarshal(text, &entry); err != nil {
+			page.unreadable = append(page.unreadable, entry.InstanceId+": "+err.Error())
+			continue
+		}
+		page.Instances = append(page.Instances, entry)
+	}
+	return page, nil
 }
 
 const (
@@ -164,5 +190,9 @@
 		_, _ = io.Copy(io.Discard, response.Body)
 		return page, errors.Errorf("the platform responded to the server list request with status %d", response.StatusCode)
 	}
-	return page, errors.Trace(json.NewDecoder(response.Body).Decode(&page))
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return page, errors.Trace(err)
+	}
+	return decodeListPage(body)
 }
