--- a/internal/standin/core_test.go
+++ b/internal/standin/core_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,11 +45,15 @@
 	client *http.Client
 }
 
-// startControlCore builds the program and starts the processes, which end with the spec.
+// buildProgram builds the program once for all specs.
+var buildProgram = sync.OnceValues(func() (string, error) { return gexec.Build("ploverhitch/cmd/ploverhitch") })
+
+var _ = AfterSuite(gexec.CleanupBuildArtifacts)
+
+// startControlCore builds the program, unless that is done, and starts the processes, which end with the spec.
 func startControlCore(firstPort int) *controlCore {
-	binary, err := gexec.Build("ploverhitch/cmd/ploverhitch")
+	binary, err := buildProgram()
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(gexec.CleanupBuildArtifacts)
 	folder, err := os.MkdirTemp(diskPlace(), "town")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, folder)
