--- a/internal/control/registry/batch_test.go
+++ b/internal/control/registry/batch_test.go
@@ -157,6 +157,18 @@
 			Expect(replica.NewBatch(replica.Set, check).Add(second, replica.Index-8)).To(Succeed())
 		})
 
+		It("reports it as stale if a change of very many items lies between", func() {
+			base := replica.Index
+			var many []config.Item
+			for number := range 2000 {
+				many = append(many, route(fmt.Sprint("many-", number), 1, fmt.Sprintf("/many-%d/", number), "s"))
+			}
+			Expect(learn(replica, many)).To(Succeed())
+			var stale *registry.StaleError
+			Expect(errors.As(replica.NewBatch(replica.Set, check).Add(second, base), &stale)).To(BeTrue())
+			Expect(replica.NewBatch(replica.Set, check).Add(second, replica.Index)).To(Succeed())
+		})
+
 		It("rejects it if it is invalid now, and acknowledges it if it was accepted meanwhile", func() {
 			base := replica.Index
 			Expect(learn(replica, second)).To(Succeed())
--- a/internal/control/registry/past.go
+++ b/internal/control/registry/past.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// maxUndoRecords and maxUndoBytes bound the changes that a replica can undo.
+	// maxUndoRecords and maxUndoBytes bound the changes that a replica can undo together,
+	// maxUndoItems the items of one such change.
 	maxUndoRecords = 64
 	maxUndoBytes   = 1 << 20
+	maxUndoItems   = 1024
 )
 
 // undoRecord holds one change and what it replaced in the set.
@@ -37,9 +39,9 @@
 }
 
 // record adds what the next change of the set replaces; it is called before the change
-// is applied. A change that replaces all items can't be undone.
+// is applied. A change of all or of very many items can't be undone.
 func (l *undoLog) record(set *Set, change Change) {
-	if change.ReplacesAll {
+	if change.ReplacesAll || len(change.Items) > maxUndoItems {
 		*l = undoLog{}
 		return
 	}
