standin: the stand-ins use the standard words

Town is Cluster, Cells are Zones, an inquiry is a request, Usual is SetDefault, Vanish is Crash, toil is runWork.

--- a/cmd/localcluster/main.go
+++ b/cmd/localcluster/main.go
@@ -43,7 +43,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return errors.Trace(err)
 	}
-	cluster, err := standin.NewTown(folder, port, map[string]string{"l-1": "lessons", "l-2": "lessons", "f-1": "fees", "f-2": "fees", "x-1": "files", "x-2": "files"})
+	cluster, err := standin.NewCluster(folder, port, map[string]string{"l-1": "lessons", "l-2": "lessons", "f-1": "fees", "f-2": "fees", "x-1": "files", "x-2": "files"})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/emulator/simulation/proxy.go
+++ b/internal/emulator/simulation/proxy.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// operate takes one inquiry with a key through the vote.
+// operate takes one request with a key through the vote.
 func (p *proxy) operate(t *task, client int, key string) {
 	w := p.world
 	p.attempts++
--- a/internal/standin/bulk_test.go
+++ b/internal/standin/bulk_test.go
@@ -15,15 +15,15 @@
 
 var _ = Describe("downloads over a narrow link on loopback", func() {
 	It("are passed on as they come, whole or visibly broken off, and leave the link to the next", func() {
-		s := startTown(20200, 1, func(town *standin.Town) {
-			town.LinkMbps = 4
-			for _, server := range town.Servers {
+		s := startCluster(20200, 1, func(cluster *standin.Cluster) {
+			cluster.LinkMbps = 4
+			for _, server := range cluster.Servers {
 				server.Long(60_000)
 			}
 		})
 		usual := func(act standin.Act) {
-			for _, server := range s.town.Servers {
-				server.Usual(act, 0)
+			for _, server := range s.cluster.Servers {
+				server.SetDefault(act, 0)
 			}
 		}
 		ask := func(path string) (began, ended time.Duration, text string, err error) {
@@ -57,11 +57,11 @@
 			Expect(len(text)).To(BeNumerically("<=", len("part")))
 		}
 		// What is short is checked whole, and never shown broken.
-		for _, server := range s.town.Servers {
+		for _, server := range s.cluster.Servers {
 			server.Long(0)
 		}
 		usual(standin.Answer)
-		s.town.Servers["f-1"].Next(standin.CutWithin)
+		s.cluster.Servers["f-1"].Next(standin.CutWithin)
 		for range 4 {
 			_, _, text, err = ask("/pack/b")
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/standin/town.go
+++ b/internal/standin/cluster.go
@@ -10,21 +10,21 @@
 	"strings"
 )
 
-// Town is a whole small system on loopback: three core nodes and some edges,
+// Cluster is a whole small system on loopback: three core nodes and some edges,
 // each machine at an address of its own under 127.0.0.0/8, a platform, and
 // servers. It writes the settings files and speaks as the operator; the
 // programs themselves are started by whoever uses it.
-type Town struct {
+type Cluster struct {
 	Folder   string
 	Platform *Platform
 	Servers  map[string]*Server
 	services map[string]string
 	ports    int
-	// Cells are the cells of servers and of edges (by number) that are not in
+	// Zones are the cells of servers and of edges (by number) that are not in
 	// cell a, Revisions the versions of servers other than v1, Extra more lines
 	// of tuning.
-	Cells     map[string]string
-	EdgeCells map[int]string
+	Zones     map[string]string
+	EdgeZones map[int]string
 	Revisions map[string]string
 	Extra     string
 	// LinkMbps is what the machines' links carry, if it is told.
@@ -33,20 +33,20 @@
 	Capacity map[string]int
 }
 
-// Machine is one machine of the town and the settings file of its processes.
+// Machine is one machine of the cluster and the settings file of its processes.
 type Machine struct {
 	Name, Ip, Cell, Settings string
 	Front, Ready             string
 }
 
-// NewTown starts the platform and one server for each id, of the service that
+// NewCluster starts the platform and one server for each id, of the service that
 // is named with it. All ports of its machines follow from the first one.
 //
 // Example:
 //
-//	town, err := standin.NewTown(folder, 17200, map[string]string{"i-1": "lessons"})
-func NewTown(folder string, port int, servers map[string]string) (*Town, error) {
-	t := &Town{Folder: folder, Servers: map[string]*Server{}, services: servers, ports: port, Cells: map[string]string{}, EdgeCells: map[int]string{}, Revisions: map[string]string{}}
+//	cluster, err := standin.NewCluster(folder, 17200, map[string]string{"i-1": "lessons"})
+func NewCluster(folder string, port int, servers map[string]string) (*Cluster, error) {
+	t := &Cluster{Folder: folder, Servers: map[string]*Server{}, services: servers, ports: port, Zones: map[string]string{}, EdgeZones: map[int]string{}, Revisions: map[string]string{}}
 	var err error
 	if t.Platform, err = NewPlatform("127.0.0.1:0", 2); err != nil {
 		return nil, err
@@ -64,8 +64,8 @@
 //
 // Example:
 //
-//	err := town.Add("x-1", "lessons-next")
-func (t *Town) Add(id, service string) (err error) {
+//	err := cluster.Add("x-1", "lessons-next")
+func (t *Cluster) Add(id, service string) (err error) {
 	t.Servers[id], err = NewServer(id, "127.0.0.1:0")
 	t.services[id] = service
 	return err
@@ -76,8 +76,8 @@
 //
 // Example:
 //
-//	town.List(map[string]string{"i-1": "draining"})
-func (t *Town) List(states map[string]string) {
+//	cluster.List(map[string]string{"i-1": "draining"})
+func (t *Cluster) List(states map[string]string) {
 	var list []Listed
 	for id, server := range t.Servers {
 		state := states[id]
@@ -85,7 +85,7 @@
 			state = "ready"
 		}
 		if state != "gone" {
-			list = append(list, Listed{InstanceId: id, Service: t.services[id], Address: server.Address(), Zone: or(t.Cells[id], "a"), Revision: or(t.Revisions[id], "v1"), State: state, WarmupLeft: "0ms", Capacity: max(2, t.Capacity[id])})
+			list = append(list, Listed{InstanceId: id, Service: t.services[id], Address: server.Address(), Zone: or(t.Zones[id], "a"), Revision: or(t.Revisions[id], "v1"), State: state, WarmupLeft: "0ms", Capacity: max(2, t.Capacity[id])})
 		}
 	}
 	t.Platform.Set(0, list...)
@@ -102,8 +102,8 @@
 //
 // Example:
 //
-//	defer town.Close()
-func (t *Town) Close() {
+//	defer cluster.Close()
+func (t *Cluster) Close() {
 	t.Platform.Close()
 	for _, server := range t.Servers {
 		server.Close()
@@ -114,15 +114,15 @@
 //
 // Example:
 //
-//	http.Get("http://" + town.Control(1) + "/v1/status")
-func (t *Town) Control(number int) string { return fmt.Sprintf("127.0.1.%d:%d", number, t.ports+9) }
+//	http.Get("http://" + cluster.Control(1) + "/v1/status")
+func (t *Cluster) Control(number int) string { return fmt.Sprintf("127.0.1.%d:%d", number, t.ports+9) }
 
 // Core writes the settings of core machine 1, 2 or 3.
 //
 // Example:
 //
-//	machine, err := town.Core(1, true)
-func (t *Town) Core(number int, isFirst bool) (Machine, error) {
+//	machine, err := cluster.Core(1, true)
+func (t *Cluster) Core(number int, isFirst bool) (Machine, error) {
 	ip := fmt.Sprintf("127.0.1.%d", number)
 	return t.machine(Machine{Name: fmt.Sprint("core-", number), Ip: ip}, isFirst,
 		fmt.Sprintf("ControlPlane: %q", t.Control(number)), filepath.Join(t.Folder, fmt.Sprint("disk-", number)))
@@ -132,14 +132,14 @@
 //
 // Example:
 //
-//	machine, err := town.Edge(1)
-func (t *Town) Edge(number int) (Machine, error) {
-	m := Machine{Name: fmt.Sprint("edge-", number), Ip: fmt.Sprintf("127.0.2.%d", number), Cell: t.EdgeCells[number]}
+//	machine, err := cluster.Edge(1)
+func (t *Cluster) Edge(number int) (Machine, error) {
+	m := Machine{Name: fmt.Sprint("edge-", number), Ip: fmt.Sprintf("127.0.2.%d", number), Cell: t.EdgeZones[number]}
 	m.Front, m.Ready = fmt.Sprintf("%s:%d", m.Ip, t.ports+8), fmt.Sprintf("%s:%d", m.Ip, t.ports+7)
 	return t.machine(m, true, fmt.Sprintf("ClientHttp: %q, Readiness: %q", m.Front, m.Ready), "")
 }
 
-func (t *Town) machine(m Machine, isFirst bool, bind, disk string) (Machine, error) {
+func (t *Cluster) machine(m Machine, isFirst bool, bind, disk string) (Machine, error) {
 	text := fmt.Sprintf(`platform:
   NodeName: %q
   Ip: %q
@@ -164,8 +164,8 @@
 //
 // Example:
 //
-//	status, err := town.Modify(1, text)
-func (t *Town) Modify(number int, text string) (int, error) {
+//	status, err := cluster.Modify(1, text)
+func (t *Cluster) Modify(number int, text string) (int, error) {
 	response, err := http.Post("http://"+t.Control(number)+"/v1/config/modify", "application/json", strings.NewReader(text))
 	if err != nil {
 		return 0, err
@@ -179,8 +179,8 @@
 //
 // Example:
 //
-//	status, text, err := town.Read(1, "/v1/config/read")
-func (t *Town) Read(number int, path string) (int, string, error) {
+//	status, text, err := cluster.Read(1, "/v1/config/read")
+func (t *Cluster) Read(number int, path string) (int, string, error) {
 	response, err := http.Get("http://" + t.Control(number) + path)
 	if err != nil {
 		return 0, "", err
--- a/internal/standin/core_test.go
+++ b/internal/standin/core_test.go
@@ -20,8 +20,8 @@
 	"ploverhitch/internal/standin"
 )
 
-// dutyStatus is what /v1/status tells of the duty.
-type dutyStatus struct {
+// leaseStatus is what /v1/status tells of the duty.
+type leaseStatus struct {
 	Node        string
 	Term        uint64
 	QuorumAgeMs int64
@@ -33,11 +33,11 @@
 }
 
 // holds tells whether the node that tells this holds the duty by a valid lease.
-func (d dutyStatus) holds() bool { return d.Lease.Holder == d.Node && d.Lease.RemainingMs > 0 }
+func (d leaseStatus) holds() bool { return d.Lease.Holder == d.Node && d.Lease.RemainingMs > 0 }
 
 // controlCore is a core of three control processes on loopback.
 type controlCore struct {
-	town     *standin.Town
+	cluster  *standin.Cluster
 	binary   string
 	settings map[int]string
 	programs map[int]*exec.Cmd
@@ -54,17 +54,17 @@
 func startControlCore(firstPort int) *controlCore {
 	binary, err := buildProgram()
 	Expect(err).NotTo(HaveOccurred())
-	folder, err := os.MkdirTemp(diskPlace(), "town")
+	folder, err := os.MkdirTemp(diskPlace(), "cluster")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, folder)
 	core := &controlCore{
 		binary: binary, settings: map[int]string{}, programs: map[int]*exec.Cmd{}, client: &http.Client{Timeout: time.Second},
 	}
-	core.town, err = standin.NewTown(folder, firstPort, map[string]string{"l-1": "lessons"})
+	core.cluster, err = standin.NewCluster(folder, firstPort, map[string]string{"l-1": "lessons"})
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(core.town.Close)
+	DeferCleanup(core.cluster.Close)
 	for number := 1; number <= 3; number++ {
-		machine, err := core.town.Core(number, true)
+		machine, err := core.cluster.Core(number, true)
 		Expect(err).NotTo(HaveOccurred())
 		core.settings[number] = machine.Settings
 		core.start(number)
@@ -87,7 +87,7 @@
 }
 
 func (c *controlCore) get(number int, path string) (int, []byte) {
-	response, err := c.client.Get("http://" + c.town.Control(number) + path)
+	response, err := c.client.Get("http://" + c.cluster.Control(number) + path)
 	if err != nil {
 		return 0, nil
 	}
@@ -98,7 +98,7 @@
 
 // post returns the status of an operator's call, or 0 if there is no response.
 func (c *controlCore) post(number int, path, body string) int {
-	response, err := c.client.Post("http://"+c.town.Control(number)+path, "application/json", strings.NewReader(body))
+	response, err := c.client.Post("http://"+c.cluster.Control(number)+path, "application/json", strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -106,7 +106,7 @@
 	return response.StatusCode
 }
 
-func (c *controlCore) status(number int) (out dutyStatus) {
+func (c *controlCore) status(number int) (out leaseStatus) {
 	_, text := c.get(number, "/v1/status")
 	_ = json.Unmarshal(text, &out)
 	return out
--- a/internal/standin/frozen_test.go
+++ b/internal/standin/frozen_test.go
@@ -56,13 +56,13 @@
 
 	It("holds up no order for longer than an operator is silent, whichever member it is, and loses none", func() {
 		const service = `{"Upsert":{"Services":[{"Name":"lessons","Revision":"r1"}]}}`
-		Eventually(func() int { code, _ := core.town.Modify(1, service); return code }).Should(Equal(http.StatusOK))
+		Eventually(func() int { code, _ := core.cluster.Modify(1, service); return code }).Should(Equal(http.StatusOK))
 		asked, acknowledged, longest := 0, []string{}, time.Duration(0)
 		// order sends one order to one node until that fails, and then to the next.
 		order := func(name string) {
 			text := fmt.Sprintf(`{"Upsert":{"VirtualHosts":[{"Hostname":"h.example","PathTable":[{"Name":%q,"PathPrefix":"/%s/","RouteType":"safe","Timeout":"1s","Service":"lessons","Revision":"r1"}]}]}}`, name, name)
 			for began, code := time.Now(), 0; code != http.StatusOK; longest = max(longest, time.Since(began)) {
-				response, err := core.client.Post("http://"+core.town.Control(1+asked%3)+"/v1/config/modify", "application/json", strings.NewReader(text))
+				response, err := core.client.Post("http://"+core.cluster.Control(1+asked%3)+"/v1/config/modify", "application/json", strings.NewReader(text))
 				if err != nil {
 					asked++
 					continue
--- a/internal/standin/late_orders_test.go
+++ b/internal/standin/late_orders_test.go
@@ -28,7 +28,7 @@
 	// modify sends an order to a member until it is acknowledged.
 	modify := func(number int, body string) {
 		GinkgoHelper()
-		Eventually(func() int { code, _ := core.town.Modify(number, body); return code }).Should(Equal(http.StatusOK))
+		Eventually(func() int { code, _ := core.cluster.Modify(number, body); return code }).Should(Equal(http.StatusOK))
 	}
 
 	// chosen returns the leader or another member.
@@ -54,7 +54,7 @@
 		stopped := time.Now()
 		// The operator sends the order to the member that stands still, and then to another one.
 		Expect(core.post(frozen, "/v1/config/modify", route("second"))).To(BeZero())
-		code, err := core.town.Modify(other, route("second"))
+		code, err := core.cluster.Modify(other, route("second"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(code).To(Equal(http.StatusBadRequest))
 		modify(other, drop)
--- a/internal/standin/leaving_test.go
+++ b/internal/standin/leaving_test.go
@@ -21,11 +21,11 @@
 			core.end()
 		}
 		s.cores = s.cores[2:]
-		s.town.List(map[string]string{"l-1": "draining", "l-2": "draining", "n-1": "gone", "n-2": "gone"})
+		s.cluster.List(map[string]string{"l-1": "draining", "l-2": "draining", "n-1": "gone", "n-2": "gone"})
 		onlyLast := func() int {
-			before, _ := s.town.Servers["l-3"].Counts()
+			before, _ := s.cluster.Servers["l-3"].Counts()
 			send(40)
-			after, _ := s.town.Servers["l-3"].Counts()
+			after, _ := s.cluster.Servers["l-3"].Counts()
 			return after - before
 		}
 		Eventually(onlyLast, 5*time.Second).Should(Equal(40))
--- a/internal/standin/limits_test.go
+++ b/internal/standin/limits_test.go
@@ -17,7 +17,7 @@
 
 	It("bounds by the manifest how long a client may take for a header, or stay idle", func() {
 		limits := func(version int, header, idle string) {
-			status, err := s.town.Modify(1, fmt.Sprintf(`{"Upsert":{"Limits":{"MaxHeaderBytes":2000,"MaxBodyBytes":1000,"HeaderTimeout":%q,"IdleTimeout":%q,"Revision":"r%d"}}}`, header, idle, version))
+			status, err := s.cluster.Modify(1, fmt.Sprintf(`{"Upsert":{"Limits":{"MaxHeaderBytes":2000,"MaxBodyBytes":1000,"HeaderTimeout":%q,"IdleTimeout":%q,"Revision":"r%d"}}}`, header, idle, version))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(status).To(Equal(200))
 		}
@@ -32,10 +32,10 @@
 			_, _ = io.Copy(io.Discard, conn)
 			return time.Since(began)
 		}
-		inquiry := "GET /read/a HTTP/1.1\r\nHost: h.example\r\nPloverhitch-Attempt-Id: slow\r\n"
+		request := "GET /read/a HTTP/1.1\r\nHost: h.example\r\nPloverhitch-Attempt-Id: slow\r\n"
 		limits(2, "250ms", "900ms")
-		Eventually(func() time.Duration { return closedAfter(inquiry) }).Should(And(BeNumerically(">", 150*time.Millisecond), BeNumerically("<", 700*time.Millisecond)))
-		Expect(closedAfter(inquiry + "\r\n")).To(And(BeNumerically(">", 700*time.Millisecond), BeNumerically("<", 2*time.Second)))
-		Expect(closedAfter(inquiry + "\r\n" + inquiry)).To(BeNumerically("<", 700*time.Millisecond))
+		Eventually(func() time.Duration { return closedAfter(request) }).Should(And(BeNumerically(">", 150*time.Millisecond), BeNumerically("<", 700*time.Millisecond)))
+		Expect(closedAfter(request + "\r\n")).To(And(BeNumerically(">", 700*time.Millisecond), BeNumerically("<", 2*time.Second)))
+		Expect(closedAfter(request + "\r\n" + request)).To(BeNumerically("<", 700*time.Millisecond))
 	})
 })
--- a/internal/standin/meter.go
+++ b/internal/standin/meter.go
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// Usual says what to do with every inquiry that Next says nothing of, and how
+// SetDefault says what to do with every request that Next says nothing of, and how
 // long each takes.
 //
 // Example:
 //
-//	server.Usual(standin.Fail500, 20*time.Millisecond)
-func (s *Server) Usual(act Act, work time.Duration) {
+//	server.SetDefault(standin.Fail500, 20*time.Millisecond)
+func (s *Server) SetDefault(act Act, work time.Duration) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.usual, s.work = act, work
@@ -26,7 +26,7 @@
 	load, peak int
 }
 
-// Peak is the most inquiries that were at work at one time, and begins anew.
+// Peak is the most requests that were at work at one time, and begins anew.
 //
 // Example:
 //
@@ -56,8 +56,8 @@
 	s.meter = meter
 }
 
-// toil counts the inquiry's work, and takes as long.
-func (s *Server) toil() {
+// runWork counts the request's work, and takes as long.
+func (s *Server) runWork() {
 	s.lock.Lock()
 	work, meter := s.work, s.meter
 	s.lock.Unlock()
@@ -70,13 +70,13 @@
 	}
 }
 
-// Vanish stops the server and breaks all its connections, as when its machine
+// Crash stops the server and breaks all its connections, as when its machine
 // is gone.
 //
 // Example:
 //
-//	server.Vanish()
-func (s *Server) Vanish() {
+//	server.Crash()
+func (s *Server) Crash() {
 	s.Close()
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -85,7 +85,7 @@
 	}
 }
 
-// Slots bounds the server's work: so many inquiries at a time, and so many more
+// Slots bounds the server's work: so many requests at a time, and so many more
 // that wait; any further one is turned away.
 //
 // Example:
--- a/internal/standin/mirror_test.go
+++ b/internal/standin/mirror_test.go
@@ -43,15 +43,15 @@
 
 var _ = Describe("mirroring to a shadow build on loopback", func() {
 	start := func(port int) *system {
-		s := startTown(port, 3, func(town *standin.Town) {
+		s := startCluster(port, 3, func(cluster *standin.Cluster) {
 			for _, id := range []string{"x-1", "x-2"} {
-				Expect(town.Add(id, "next")).To(Succeed())
+				Expect(cluster.Add(id, "next")).To(Succeed())
 			}
-			for _, server := range town.Servers {
+			for _, server := range cluster.Servers {
 				server.Sign("all")
 			}
 		})
-		status, err := s.town.Modify(1, shadowText)
+		status, err := s.cluster.Modify(1, shadowText)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status).To(Equal(200))
 		return s
@@ -64,7 +64,7 @@
 		Eventually(func() string { return s.state("/v1/mirrors") }).Should(ContainSubstring(`"IsSettled":true`))
 		// What it settled under is renewed to every node.
 		Eventually(func(g Gomega) {
-			sums, unheard, err := inspect.NewControl(s.town.Control(1)).Mirrors()
+			sums, unheard, err := inspect.NewControl(s.cluster.Control(1)).Mirrors()
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(unheard).To(BeEmpty())
 			g.Expect(sums[0].Claim).To(ContainSubstring("whole conversations"))
@@ -103,7 +103,7 @@
 		all.Wait()
 	}
 	shadowRuns := func(s *system) (out []standin.Run) {
-		return append(s.town.Servers["x-1"].Runs(), s.town.Servers["x-2"].Runs()...)
+		return append(s.cluster.Servers["x-1"].Runs(), s.cluster.Servers["x-2"].Runs()...)
 	}
 
 	It("copies whole conversations, each keyed operation once, and claims no more than that", func() {
@@ -115,13 +115,13 @@
 		var sums []inspect.MirrorSummary
 		Eventually(func(g Gomega) {
 			var err error
-			sums, _, err = inspect.NewControl(s.town.Control(2)).Mirrors()
+			sums, _, err = inspect.NewControl(s.cluster.Control(2)).Mirrors()
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(sums[0].Claim).To(HavePrefix("no difference in "))
 			g.Expect(outcomes(sums[0]) + lost(sums[0])).To(BeEquivalentTo(sums[0].Seen * 2))
 		}).Should(Succeed())
 		live, shadow, parts := map[string]int{}, map[string]int{}, map[string]int{}
-		for id, server := range s.town.Servers {
+		for id, server := range s.cluster.Servers {
 			for _, run := range server.Runs() {
 				if strings.HasPrefix(id, "x-") {
 					Expect(run.Shadow).To(HavePrefix("build; version=1; node=edge-"))
@@ -156,7 +156,7 @@
 		var out bytes.Buffer
 		app := kingpin.New("test", "")
 		commands := inspect.Register(app, &out, &out)
-		_, err := app.Parse([]string{"inspector", "--control", s.town.Control(2), "mirror"})
+		_, err := app.Parse([]string{"inspector", "--control", s.cluster.Control(2), "mirror"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(commands.Run("inspector mirror")).To(Equal(inspect.ExitClean))
 		Expect(out.String()).To(ContainSubstring("no difference in"))
@@ -187,15 +187,15 @@
 		settled(s)
 		for _, act := range []standin.Act{standin.Silent, standin.Fail500, standin.Garbage, standin.CutWithin, standin.SurplusBefore} {
 			for _, id := range []string{"x-1", "x-2"} {
-				s.town.Servers[id].Usual(act, 0)
+				s.cluster.Servers[id].SetDefault(act, 0)
 			}
 			Expect(pace(fmt.Sprint("on", act))).To(BeNumerically("<", 2*off+10*time.Millisecond))
 		}
-		sums, _, err := inspect.NewControl(s.town.Control(1)).Mirrors()
+		sums, _, err := inspect.NewControl(s.cluster.Control(1)).Mirrors()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(sums[0].Claim).NotTo(HavePrefix("no difference"))
 		for _, id := range []string{"x-1", "x-2"} {
-			s.town.Servers[id].Free()
+			s.cluster.Servers[id].Free()
 		}
 	})
 
@@ -204,11 +204,11 @@
 		order(s, mirrorText(1, 1))
 		settled(s)
 		// The list is behind: where x-1 and x-2 were, servers of the live side are.
-		s.town.Servers["x-1"].ID, s.town.Servers["x-2"].ID = "l-8", "l-9"
+		s.cluster.Servers["x-1"].ID, s.cluster.Servers["x-2"].ID = "l-8", "l-9"
 		week(s, "c", 10)
 		Eventually(func() int {
-			a, _ := s.town.Servers["x-1"].Counts()
-			z, _ := s.town.Servers["x-2"].Counts()
+			a, _ := s.cluster.Servers["x-1"].Counts()
+			z, _ := s.cluster.Servers["x-2"].Counts()
 			return a + z
 		}).Should(BeNumerically(">", 0))
 		Expect(shadowRuns(s)).To(BeEmpty())
--- a/internal/standin/moves_test.go
+++ b/internal/standin/moves_test.go
@@ -28,7 +28,7 @@
 			for range 2 * keys {
 				acts = append(acts, standin.Silent)
 			}
-			s.town.Servers[id].Next(acts...)
+			s.cluster.Servers[id].Next(acts...)
 		}
 		var all sync.WaitGroup
 		statuses := make([]int, keys)
@@ -42,7 +42,7 @@
 				statuses[i], _, _ = s.send(i%2, "POST", path, "x", headers)
 			})
 		}
-		control := inspect.NewControl(s.town.Control(1))
+		control := inspect.NewControl(s.cluster.Control(1))
 		change := balancer.Change{Service: "fees", Retire: []string{"f-1"}}
 		var forecast *inspect.Forecast
 		Eventually(func(g Gomega) (count int) {
@@ -75,14 +75,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again.Nodes).To(Equal(forecast.Nodes))
 
-		s.town.List(map[string]string{"f-1": "draining", "n-1": "gone", "n-2": "gone"})
+		s.cluster.List(map[string]string{"f-1": "draining", "n-1": "gone", "n-2": "gone"})
 		surprises, err := forecast.Confirm(clock.Real(), 10*time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(surprises).To(BeEmpty())
 
 		for _, id := range []string{"f-1", "f-2"} {
-			s.town.Servers[id].Free()
-			s.town.Servers[id].Next()
+			s.cluster.Servers[id].Free()
+			s.cluster.Servers[id].Next()
 		}
 		all.Wait()
 		for i, status := range statuses {
@@ -101,16 +101,16 @@
 			var out, errs bytes.Buffer
 			app := kingpin.New("ploverhitch", "")
 			commands := inspect.Register(app, &out, &errs)
-			name, err := app.Parse(append([]string{"inspector", "--control", s.town.Control(1)}, args...))
+			name, err := app.Parse(append([]string{"inspector", "--control", s.cluster.Control(1)}, args...))
 			Expect(err).NotTo(HaveOccurred())
 			return commands.Run(name), out.String(), errs.String()
 		}
-		s.town.List(s.hidden())
+		s.cluster.List(s.hidden())
 		Eventually(func() int { status, _, _ := run("check"); return status }).Should(Equal(inspect.ExitClean))
 		status, out, _ := run("--json", "moves", "--service", "fees", "--add", "f-9")
 		Expect(status).To(Equal(inspect.ExitClean))
 		Expect(out).To(ContainSubstring(`"Node": "edge-2"`))
-		s.town.List(map[string]string{"f-1": "gone", "f-2": "gone", "n-1": "gone", "n-2": "gone"})
+		s.cluster.List(map[string]string{"f-1": "gone", "f-2": "gone", "n-1": "gone", "n-2": "gone"})
 		Eventually(func() string { _, out, _ := run("check"); return out }).Should(MatchRegexp(`no server +lane fee`))
 		status, _, errs := run("moves", "--service", "fees", "--retire", "never-was")
 		Expect(status).To(Equal(inspect.ExitError))
--- a/internal/standin/numbers_test.go
+++ b/internal/standin/numbers_test.go
@@ -41,12 +41,12 @@
 	It("are served whatever their size, and read back as they were sent", func() {
 		limits := `{"Upsert":{"Services":[{"Name":"lessons","MaxConnections":4611686018427387904,"Revision":"r2"},{"Name":"seats","MaxConnections":-1,"IdempotentDedup":true,"Revision":"r2"}],
 "Limits":{"MaxHeaderBytes":1e30,"MaxBodyBytes":9223372036854775807,"HeaderTimeout":"9999999999s","IdleTimeout":"9999999999s","Revision":"r2"}}}`
-		Expect(s.town.Modify(1, limits)).To(Equal(200))
+		Expect(s.cluster.Modify(1, limits)).To(Equal(200))
 		for number, fields := range unusualFields {
-			Expect(s.town.Modify(1, `{"Upsert":{"VirtualHosts":[{"Hostname":"h.example","PathTable":[`+route(number, fields)+`]}]}}`)).To(Equal(200), fields)
+			Expect(s.cluster.Modify(1, `{"Upsert":{"VirtualHosts":[{"Hostname":"h.example","PathTable":[`+route(number, fields)+`]}]}}`)).To(Equal(200), fields)
 		}
 		expectServed(0)
-		_, text, err := s.town.Read(2, "/v1/config/read")
+		_, text, err := s.cluster.Read(2, "/v1/config/read")
 		Expect(err).NotTo(HaveOccurred())
 		for number, fields := range unusualFields {
 			Expect(text).To(ContainSubstring(route(number, fields)))
--- a/internal/standin/open_test.go
+++ b/internal/standin/open_test.go
@@ -17,7 +17,7 @@
 	}
 	usual := func(act standin.Act) {
 		for _, id := range []string{"f-1", "f-2"} {
-			s.town.Servers[id].Usual(act, 0)
+			s.cluster.Servers[id].SetDefault(act, 0)
 		}
 	}
 
@@ -28,13 +28,13 @@
 		Expect(fee("k1", "x")).To(Equal(504))
 		usual(standin.Answer)
 		for _, id := range []string{"f-1", "f-2"} {
-			s.town.Servers[id].Free()
+			s.cluster.Servers[id].Free()
 		}
 		Consistently(func() int { return fee("k1", "x") }).WithTimeout(time.Second).Should(Equal(409))
 		Expect(s.runs("k1")).To(Equal(1))
 	})
 
-	It("refuses another inquiry under it as a conflict, not as one in work", func() {
+	It("refuses another request under it as a conflict, not as one in work", func() {
 		Expect(fee("k1", "y")).To(Equal(422))
 		Expect(s.runs("k1")).To(Equal(1))
 	})
--- a/internal/standin/openapi_test.go
+++ b/internal/standin/openapi_test.go
@@ -24,12 +24,12 @@
 		s := startSystem(17400, 1)
 		matchSchema("Modify", manifestText)
 		for path, schema := range map[string]string{"/v1/config/read": "Set", "/v1/status": "Status", "/v1/fleet": "Fleet", "/v1/config/accepted/fee": "Accepted"} {
-			status, text, err := s.town.Read(1, path)
+			status, text, err := s.cluster.Read(1, path)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(status).To(Equal(200))
 			matchSchema(schema, text)
 		}
-		status, err := s.town.Modify(1, strings.Replace(manifestText, `"Service":"fees"`, `"Service":"unknown"`, 1))
+		status, err := s.cluster.Modify(1, strings.Replace(manifestText, `"Service":"fees"`, `"Service":"unknown"`, 1))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status).To(Equal(400))
 	})
--- a/internal/standin/orders_test.go
+++ b/internal/standin/orders_test.go
@@ -29,7 +29,7 @@
 	BeforeAll(func() { s = startSystem(18700, 1) })
 
 	send := func(number int, text string) answered {
-		response, err := http.Post("http://"+s.town.Control(number)+"/v1/config/modify", "application/json", strings.NewReader(text))
+		response, err := http.Post("http://"+s.cluster.Control(number)+"/v1/config/modify", "application/json", strings.NewReader(text))
 		if err != nil {
 			// The node is not up: no status.
 			return answered{text: err.Error()}
@@ -57,7 +57,7 @@
 		return one, two
 	}
 	standing := func(number int) string {
-		_, text, _ := s.town.Read(number, "/v1/config/read")
+		_, text, _ := s.cluster.Read(number, "/v1/config/read")
 		return text
 	}
 
@@ -98,7 +98,7 @@
 		began := time.Now()
 		Expect(send(1, order("alone", "/alone/", "1s", 1)).status).To(Equal(503))
 		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
-		status, _, err := s.town.Read(1, "/v1/config/read")
+		status, _, err := s.cluster.Read(1, "/v1/config/read")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status).To(Equal(503))
 		s.cores[1], s.cores[2] = s.core(2, false), s.core(3, false)
@@ -113,6 +113,6 @@
 		}
 		s.cores[2] = s.core(3, false)
 		Eventually(func() string { return standing(3) }).Should(ContainSubstring(`"r309"`))
-		Eventually(func() string { _, text, _ := s.town.Read(3, "/v1/status"); return text }).Should(ContainSubstring(`"often":"r309"`))
+		Eventually(func() string { _, text, _ := s.cluster.Read(3, "/v1/status"); return text }).Should(ContainSubstring(`"often":"r309"`))
 	})
 })
--- a/internal/standin/overload_test.go
+++ b/internal/standin/overload_test.go
@@ -75,7 +75,7 @@
 	return c
 }
 
-// press1 makes one inquiry, and its retries at other nodes.
+// press1 makes one request, and its retries at other nodes.
 func (s *system) press1(c *crowd, kind int, key string, edge int) {
 	c.asked[kind].Add(1)
 	method, headers := "GET", map[string]string(nil)
@@ -113,14 +113,14 @@
 
 var _ = Describe("an overload of the whole cluster on loopback", func() {
 	start := func(port int, mode string) *system {
-		s := startTown(port, 4, func(town *standin.Town) {
-			town.Extra = ", loadgauge: " + mode
-			for _, server := range town.Servers {
-				server.Usual(standin.Answer, 20*time.Millisecond)
+		s := startCluster(port, 4, func(cluster *standin.Cluster) {
+			cluster.Extra = ", loadgauge: " + mode
+			for _, server := range cluster.Servers {
+				server.SetDefault(standin.Answer, 20*time.Millisecond)
 				server.Slots(2, 4)
 			}
 		})
-		Eventually(func() (int, error) { return s.town.Modify(2, overloadText) }).Should(Equal(200))
+		Eventually(func() (int, error) { return s.cluster.Modify(2, overloadText) }).Should(Equal(200))
 		Eventually(func() int { status, _, _ := s.send(3, "GET", "/urgent/x", "", nil); return status }).Should(Equal(200))
 		return s
 	}
@@ -147,7 +147,7 @@
 		var out bytes.Buffer
 		app := kingpin.New("test", "")
 		commands := inspect.Register(app, &out, &out)
-		_, err := app.Parse([]string{"inspector", "--control", s.town.Control(2), "load"})
+		_, err := app.Parse([]string{"inspector", "--control", s.cluster.Control(2), "load"})
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() int { return commands.Run("inspector load") }).Should(Equal(inspect.ExitClean))
 		Expect(out.String()).To(ContainSubstring("urgent"))
@@ -170,7 +170,7 @@
 		status, reason = s.post(1, "/v1/plans/modify", `{"Upsert":[{"Name":"p","Tiers":[{"Name":"gold","Order":1,"Routes":["fee","seat","page"]}],"Revision":"r2"}]}`)
 		Expect(status).To(Equal(200), reason)
 		Eventually(func() string { return s.state("/v1/load") }).Should(ContainSubstring(`"Plan":"gold"`))
-		_, text, _ := s.town.Read(1, "/v1/config/read")
+		_, text, _ := s.cluster.Read(1, "/v1/config/read")
 		Expect(text).NotTo(ContainSubstring("gold"))
 		status, reason = s.post(1, "/v1/plans/modify", `{"Upsert":[{"Name":"q","Tiers":[{"Name":"a","Order":1,"Hosts":["h.example"]}],"Revision":"r1"}]}`)
 		Expect(status).To(Equal(400))
--- a/internal/standin/process_test.go
+++ b/internal/standin/process_test.go
@@ -51,9 +51,9 @@
 {"Name":"seat","PathPrefix":"/seat/","RouteType":"idempotent","Timeout":"3s","TargetLatency":"2s","MaxAttempts":3,"Service":"seats","Revision":"r1"},
 {"Name":"fee","PathPrefix":"/fee/","RouteType":"idempotent","Timeout":"9s","TargetLatency":"2s","MaxAttempts":2,"Service":"fees","Revision":"r1"}]}]},"Remove":{"Routes":[]}}`
 
-// system is a whole town with its programs running in this test.
+// system is a whole cluster with its programs running in this test.
 type system struct {
-	town     *standin.Town
+	cluster  *standin.Cluster
 	cores    []*process
 	edges    []standin.Machine
 	attempts atomic.Int64
@@ -73,21 +73,21 @@
 	return ""
 }
 
-func startSystem(port, edges int) *system { return startTown(port, edges, nil) }
+func startSystem(port, edges int) *system { return startCluster(port, edges, nil) }
 
-// startTown starts a system after lay has said what is special in its town.
-func startTown(port, edges int, lay func(*standin.Town)) *system {
-	folder, err := os.MkdirTemp(diskPlace(), "town")
+// startCluster starts a system after lay has said what is special in its cluster.
+func startCluster(port, edges int, lay func(*standin.Cluster)) *system {
+	folder, err := os.MkdirTemp(diskPlace(), "cluster")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, folder)
 	s := &system{}
-	s.town, err = standin.NewTown(folder, port, map[string]string{"l-1": "lessons", "l-2": "lessons", "l-3": "lessons", "f-1": "fees", "f-2": "fees", "s-1": "seats", "s-2": "seats", "n-1": "fees", "n-2": "fees"})
+	s.cluster, err = standin.NewCluster(folder, port, map[string]string{"l-1": "lessons", "l-2": "lessons", "l-3": "lessons", "f-1": "fees", "f-2": "fees", "s-1": "seats", "s-2": "seats", "n-1": "fees", "n-2": "fees"})
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(s.town.Close)
+	DeferCleanup(s.cluster.Close)
 	if lay != nil {
-		lay(s.town)
+		lay(s.cluster)
 	}
-	s.town.List(s.hidden())
+	s.cluster.List(s.hidden())
 	for number := 1; number <= 3; number++ {
 		s.cores = append(s.cores, s.core(number, true))
 	}
@@ -99,7 +99,7 @@
 	for number := 1; number <= edges; number++ {
 		s.startEdge(number)
 	}
-	Eventually(func() (int, error) { return s.town.Modify(1, manifestText) }).Should(Equal(200))
+	Eventually(func() (int, error) { return s.cluster.Modify(1, manifestText) }).Should(Equal(200))
 	for _, edge := range s.edges {
 		Eventually(func() int {
 			response, err := http.Get("http://" + edge.Ready + "/v1/ready")
@@ -115,7 +115,7 @@
 
 // startEdge starts an edge machine that ends with the spec.
 func (s *system) startEdge(number int) {
-	edge, err := s.town.Edge(number)
+	edge, err := s.cluster.Edge(number)
 	Expect(err).NotTo(HaveOccurred())
 	s.edges = append(s.edges, edge)
 	agentProcess, proxyProcess := start(agent.Run, edge), start(proxy.Run, edge)
@@ -129,7 +129,7 @@
 func (s *system) hidden() map[string]string { return map[string]string{"n-1": "gone", "n-2": "gone"} }
 
 func (s *system) core(number int, isFirst bool) *process {
-	machine, err := s.town.Core(number, isFirst)
+	machine, err := s.cluster.Core(number, isFirst)
 	Expect(err).NotTo(HaveOccurred())
 	return start(control.Run, machine)
 }
@@ -154,7 +154,7 @@
 
 // runs counts how often a key ran, at all servers.
 func (s *system) runs(key string) (count int) {
-	for _, server := range s.town.Servers {
+	for _, server := range s.cluster.Servers {
 		for _, run := range server.Runs() {
 			if run.Key == key {
 				count++
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Act is what a stand-in server does with one inquiry.
+// Act is what a stand-in server does with one request.
 type Act uint8
 
 // The acts: a server may answer, or go wrong in every way that the protocol
@@ -28,18 +28,18 @@
 	SurplusBefore
 	SurplusAfter
 	Silent
-	// SilentShed is silent first, and then turns the inquiry away.
+	// SilentShed is silent first, and then turns the request away.
 	SilentShed
 	// SilentCut is silent first, and then breaks the connection.
 	SilentCut
 )
 
-// Run is one inquiry that a server ran.
+// Run is one request that a server ran.
 type Run struct {
 	Attempt, Key, Target, Body, Instance, Deadline, Shadow string
 }
 
-// Server is a server of a service: it runs inquiries, seals its answers, and
+// Server is a server of a service: it runs requests, seals its answers, and
 // goes wrong as it is told.
 type Server struct {
 	ID       string
@@ -50,7 +50,7 @@
 	arrivals int
 	conns    int
 	held     chan struct{}
-	// usual is the act where none is told, work how long an inquiry takes.
+	// usual is the act where none is told, work how long an request takes.
 	usual Act
 	work  time.Duration
 	meter *Meter
@@ -109,7 +109,7 @@
 	s.Free()
 }
 
-// Free lets the inquiries that Silent held be answered.
+// Free lets the requests that Silent held be answered.
 //
 // Example:
 //
@@ -121,7 +121,7 @@
 	s.held = make(chan struct{})
 }
 
-// Next says what to do with the coming inquiries, one act each; after them the
+// Next says what to do with the coming requests, one act each; after them the
 // server answers.
 //
 // Example:
@@ -133,7 +133,7 @@
 	s.acts = acts
 }
 
-// Runs are the inquiries that ran, in order.
+// Runs are the requests that ran, in order.
 //
 // Example:
 //
@@ -144,7 +144,7 @@
 	return append([]Run(nil), s.runs...)
 }
 
-// Counts tells how many inquiries arrived, and over how many connections.
+// Counts tells how many requests arrived, and over how many connections.
 //
 // Example:
 //
@@ -203,7 +203,7 @@
 		act, held := s.begin(r, string(received))
 		text, filler := s.body(id)
 		length := len(text) + len(filler)
-		s.toil()
+		s.runWork()
 		leave()
 		switch act {
 		case Shed, SilentShed:
--- a/internal/standin/sites_test.go
+++ b/internal/standin/sites_test.go
@@ -17,21 +17,21 @@
 // each, as the list says.
 
 func startSites(port int, mode string) *system {
-	s := startTown(port, 4, func(town *standin.Town) {
-		town.EdgeCells[3], town.EdgeCells[4] = "b", "b"
-		town.Cells["n-1"], town.Cells["n-2"] = "b", "b"
-		town.Capacity = map[string]int{"f-1": 8, "f-2": 8, "n-1": 8, "n-2": 8}
-		town.Extra = ", branchline: " + mode
-		for _, server := range town.Servers {
-			server.Usual(standin.Answer, 40*time.Millisecond)
+	s := startCluster(port, 4, func(cluster *standin.Cluster) {
+		cluster.EdgeZones[3], cluster.EdgeZones[4] = "b", "b"
+		cluster.Zones["n-1"], cluster.Zones["n-2"] = "b", "b"
+		cluster.Capacity = map[string]int{"f-1": 8, "f-2": 8, "n-1": 8, "n-2": 8}
+		cluster.Extra = ", branchline: " + mode
+		for _, server := range cluster.Servers {
+			server.SetDefault(standin.Answer, 40*time.Millisecond)
 		}
 	})
-	s.town.List(nil)
+	s.cluster.List(nil)
 	Eventually(func() string { return s.state("/v1/fleet") }).Should(ContainSubstring(`"n-2"`))
 	return s
 }
 
-// press keeps many clients at each edge busy with keyed inquiries and reads for a
+// press keeps many clients at each edge busy with keyed requests and reads for a
 // while; a refused one comes back after a pause, as it is told.
 func (s *system) press(perEdge []int, span time.Duration) (keys []string, served int64) {
 	var all sync.WaitGroup
@@ -69,7 +69,7 @@
 	fall := func(s *system, seenAfter time.Duration) (peak int, served int64) {
 		east, west := &standin.Meter{}, &standin.Meter{}
 		for id, meter := range map[string]*standin.Meter{"f-1": east, "f-2": east, "n-1": west, "n-2": west} {
-			s.town.Servers[id].Meter(meter)
+			s.cluster.Servers[id].Meter(meter)
 		}
 		keys, before := s.press([]int{6, 6, 2, 2}, time.Second)
 		var rush sync.WaitGroup
@@ -79,11 +79,11 @@
 			keys, served = append(keys, late...), count
 		})
 		Eventually(func() int { return east.Peak() }).Should(BeNumerically(">", 8))
-		s.town.Servers["f-1"].Vanish()
-		s.town.Servers["f-2"].Vanish()
+		s.cluster.Servers["f-1"].Crash()
+		s.cluster.Servers["f-2"].Crash()
 		west.Peak()
 		<-time.After(200 * time.Millisecond) // the list is behind
-		s.town.List(map[string]string{"f-1": "gone", "f-2": "gone"})
+		s.cluster.List(map[string]string{"f-1": "gone", "f-2": "gone"})
 		if seenAfter > 0 {
 			<-time.After(seenAfter)
 			west.Peak()
@@ -128,7 +128,7 @@
 		status, reason = s.post(2, "/v1/sites/modify", `{"Upsert":[{"Name":"hall","Parent":"a","Servers":["f-1"],"Capacity":{"fees":1},"Revision":"r1"}]}`)
 		Expect(status).To(Equal(200), reason)
 		Eventually(func() string { return s.state("/v1/sites") }).Should(ContainSubstring(`"Site":"hall"`))
-		_, text, _ := s.town.Read(1, "/v1/config/read")
+		_, text, _ := s.cluster.Read(1, "/v1/config/read")
 		Expect(text).NotTo(ContainSubstring("hall"))
 	})
 })
--- a/internal/standin/staged_test.go
+++ b/internal/standin/staged_test.go
@@ -14,10 +14,10 @@
 var _ = Describe("a staged change on loopback", Ordered, func() {
 	var s *system
 	BeforeAll(func() {
-		s = startTown(17800, 4, func(town *standin.Town) {
-			town.EdgeCells[3], town.EdgeCells[4] = "b", "b"
-			for _, server := range town.Servers {
-				server.Usual(standin.Answer, 3*time.Millisecond)
+		s = startCluster(17800, 4, func(cluster *standin.Cluster) {
+			cluster.EdgeZones[3], cluster.EdgeZones[4] = "b", "b"
+			for _, server := range cluster.Servers {
+				server.SetDefault(standin.Answer, 3*time.Millisecond)
 			}
 		})
 	})
@@ -32,7 +32,7 @@
 	// ran counts what the servers ran.
 	ran := func(ids ...string) (count int) {
 		for _, id := range ids {
-			count += len(s.town.Servers[id].Runs())
+			count += len(s.cluster.Servers[id].Runs())
 		}
 		return count
 	}
@@ -51,10 +51,10 @@
 		Expect(read("x")).To(HavePrefix("404"))
 	})
 
-	DescribeTable("halts a faulty one at the first node, each keyed inquiry run once",
+	DescribeTable("halts a faulty one at the first node, each keyed request run once",
 		func(name, lane string, version int, act standin.Act, work time.Duration, why string) {
-			s.town.Servers["s-1"].Usual(act, work)
-			s.town.Servers["s-2"].Usual(act, work)
+			s.cluster.Servers["s-1"].SetDefault(act, work)
+			s.cluster.Servers["s-2"].SetDefault(act, work)
 			r := s.rush()
 			Eventually(func() int { status, _ := s.post(3, "/v1/staged/start", order(name, lane, version)); return status }).Should(Equal(200))
 			status, _ := s.post(1, "/v1/staged/start", order("other", feeToSeats, version+1))
@@ -62,8 +62,8 @@
 			Eventually(func() string { return read(name) }).Should(And(
 				ContainSubstring(`"State":"reverted"`), ContainSubstring(`"Wave":0`), ContainSubstring(why)))
 			matchSchema("StagedState", read(name))
-			s.town.Servers["s-1"].Usual(standin.Answer, 3*time.Millisecond)
-			s.town.Servers["s-2"].Usual(standin.Answer, 3*time.Millisecond)
+			s.cluster.Servers["s-1"].SetDefault(standin.Answer, 3*time.Millisecond)
+			s.cluster.Servers["s-2"].SetDefault(standin.Answer, 3*time.Millisecond)
 			// Every node serves the manifest again.
 			before := ran("s-1", "s-2")
 			Eventually(func() int {
--- a/internal/standin/stalled_clients_test.go
+++ b/internal/standin/stalled_clients_test.go
@@ -22,7 +22,7 @@
 	var s *system
 	BeforeAll(func() {
 		s = startSystem(21600, 1)
-		Expect(s.town.Modify(1, fmt.Sprintf(`{"Upsert":{"Services":[{"Name":"lessons","MaxConnections":40,"Revision":"r2"}],"VirtualHosts":[{"Hostname":"h.example","PathTable":[
+		Expect(s.cluster.Modify(1, fmt.Sprintf(`{"Upsert":{"Services":[{"Name":"lessons","MaxConnections":40,"Revision":"r2"}],"VirtualHosts":[{"Hostname":"h.example","PathTable":[
 {"Name":"stall","PathPrefix":"/stall/","RouteType":"safe","Timeout":"%dms","TargetLatency":"400ms","MaxAttempts":1,"Service":"lessons","Revision":"r2"},
 {"Name":"haul","PathPrefix":"/haul/","RouteType":"download","Timeout":"%dms","TargetLatency":"400ms","MaxAttempts":1,"Service":"lessons","Revision":"r2"},
 {"Name":"slow","PathPrefix":"/slow/","RouteType":"safe","Timeout":"30s","TargetLatency":"400ms","MaxAttempts":1,"Service":"lessons","Revision":"r2"}]}]}}`,
@@ -33,11 +33,11 @@
 	// setAnswers sets by how much the servers' answers are longer than usual.
 	setAnswers := func(bytes int) {
 		for _, id := range []string{"l-1", "l-2", "l-3"} {
-			s.town.Servers[id].Long(bytes)
+			s.cluster.Servers[id].Long(bytes)
 		}
 	}
 	writing := func() (count int) {
-		for _, server := range s.town.Servers {
+		for _, server := range s.cluster.Servers {
 			count += server.Writing()
 		}
 		return count
--- a/internal/standin/trials_test.go
+++ b/internal/standin/trials_test.go
@@ -14,7 +14,7 @@
 	"ploverhitch/internal/standin"
 )
 
-// rush sends inquiries to all edges in turn, from a few clients, until stopped;
+// rush sends requests to all edges in turn, from a few clients, until stopped;
 // each keyed one has a key of its own, and is sent again until it has an end.
 type rush struct {
 	stop chan struct{}
@@ -58,7 +58,7 @@
 }
 
 func (s *system) post(number int, path, text string) (int, string) {
-	response, err := http.Post("http://"+s.town.Control(number)+path, "application/json", strings.NewReader(text))
+	response, err := http.Post("http://"+s.cluster.Control(number)+path, "application/json", strings.NewReader(text))
 	Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
 	body, _ := io.ReadAll(response.Body)
@@ -67,7 +67,7 @@
 
 // state reads how a trial stands; two readings never go back.
 func (s *system) state(path string) string {
-	status, text, err := s.town.Read(1, path)
+	status, text, err := s.cluster.Read(1, path)
 	if err != nil || status != 200 {
 		return fmt.Sprint(status, err)
 	}
@@ -77,7 +77,7 @@
 func (s *system) eachOnce(keys []string) {
 	GinkgoHelper()
 	counts := map[string]int{}
-	for _, server := range s.town.Servers {
+	for _, server := range s.cluster.Servers {
 		for _, run := range server.Runs() {
 			counts[run.Key]++
 		}
@@ -90,15 +90,15 @@
 var _ = Describe("a rollout on loopback", Ordered, func() {
 	var s *system
 	BeforeAll(func() {
-		s = startTown(17600, 3, func(town *standin.Town) {
-			town.Revisions["n-1"], town.Revisions["n-2"] = "v2", "v2"
-			for _, server := range town.Servers {
-				server.Usual(standin.Answer, 5*time.Millisecond)
+		s = startCluster(17600, 3, func(cluster *standin.Cluster) {
+			cluster.Revisions["n-1"], cluster.Revisions["n-2"] = "v2", "v2"
+			for _, server := range cluster.Servers {
+				server.SetDefault(standin.Answer, 5*time.Millisecond)
 			}
 		})
 	})
 	order := `{"Service":"fees","TargetVersion":"v2","Duration":"9s"}`
-	ran := func() int { return len(s.town.Servers["n-1"].Runs()) + len(s.town.Servers["n-2"].Runs()) }
+	ran := func() int { return len(s.cluster.Servers["n-1"].Runs()) + len(s.cluster.Servers["n-2"].Runs()) }
 
 	It("refuses what is malformed or unknown, and gives an unordered version nothing", func() {
 		for text, want := range map[string]int{
@@ -112,7 +112,7 @@
 			Expect(status).To(Equal(want), text)
 		}
 		Expect(s.state("/v1/rollouts/fees/read")).To(HavePrefix("404"))
-		s.town.List(nil)
+		s.cluster.List(nil)
 		r := s.rush()
 		Eventually(func() string { return s.state("/v1/fleet") }).Should(ContainSubstring(`"n-1"`))
 		r.end()
@@ -120,8 +120,8 @@
 	})
 
 	It("reverts a bad version and shows why, each key run once, a core node lost in the middle", func() {
-		s.town.Servers["n-1"].Usual(standin.Fail500, 5*time.Millisecond)
-		s.town.Servers["n-2"].Usual(standin.Fail500, 5*time.Millisecond)
+		s.cluster.Servers["n-1"].SetDefault(standin.Fail500, 5*time.Millisecond)
+		s.cluster.Servers["n-2"].SetDefault(standin.Fail500, 5*time.Millisecond)
 		r := s.rush()
 		status, _ := s.post(3, "/v1/rollouts/start", order)
 		Expect(status).To(Equal(200))
@@ -130,7 +130,7 @@
 		status, _ = s.post(1, "/v1/rollouts/start", strings.Replace(order, "v2", "v3", 1))
 		Expect(status).To(Equal(409))
 		s.cores[0].end()
-		Eventually(func() string { _, text, _ := s.town.Read(2, "/v1/rollouts/fees/read"); return text }).Should(And(
+		Eventually(func() string { _, text, _ := s.cluster.Read(2, "/v1/rollouts/fees/read"); return text }).Should(And(
 			ContainSubstring(`"State":"reverted"`), ContainSubstring("on trial")))
 		s.cores[0] = s.core(1, false)
 		keys := r.end()
@@ -142,16 +142,16 @@
 	})
 
 	It("completes with a good one, and the old servers may go that instant", func() {
-		s.town.Servers["n-1"].Usual(standin.Answer, 5*time.Millisecond)
-		s.town.Servers["n-2"].Usual(standin.Answer, 5*time.Millisecond)
+		s.cluster.Servers["n-1"].SetDefault(standin.Answer, 5*time.Millisecond)
+		s.cluster.Servers["n-2"].SetDefault(standin.Answer, 5*time.Millisecond)
 		r := s.rush()
 		Eventually(func() int {
 			status, _ := s.post(2, "/v1/rollouts/start", strings.Replace(order, "9s", "8s", 1))
 			return status
 		}).Should(Equal(200))
 		Eventually(func() string { return s.state("/v1/rollouts/fees/read") }).Should(ContainSubstring(`"State":"complete"`))
-		s.town.Servers["f-1"].Close()
-		s.town.Servers["f-2"].Close()
+		s.cluster.Servers["f-1"].Close()
+		s.cluster.Servers["f-2"].Close()
 		before := ran()
 		Eventually(ran).Should(BeNumerically(">", before+20))
 		s.eachOnce(r.end())
