sites: nodes of an older build count beside newer ones

Cause: the choice between average and sample was made for the site's sum, not for each node. Change: it is made for each node.

The package's specs and the site specs of standin pass. Where all nodes report the same way, nothing changes.

--- a/internal/sites/allocator.go
+++ b/internal/sites/allocator.go
@@ -147,19 +147,27 @@
 	return leases
 }
 
+// load returns the node's average requests in flight or, if it reports none, those at its
+// last report.
+func (s *nodeState) load(key Key) float64 {
+	if average := s.averages[key]; average > 0 {
+		return average
+	}
+	return float64(s.inFlight[key])
+}
+
 // freeSlots returns the slots at a site that are left for a node beside all others. The
 // requests in flight at the last reports are a sample, taken when the site may have been
 // idle for a moment: its average load, and the peak of each of its nodes, count as well.
 func (a *Allocator) freeSlots(key Key, node string) int {
-	now, ownLoad, reserved := a.clock.Monotonic(), 0, 0
-	ownAverage, ownPeak := 0.0, 0
+	now, reserved := a.clock.Monotonic(), 0
+	ownLoad, ownPeak := 0.0, 0
 	for name, state := range a.nodes {
 		switch {
 		case now-state.reportedAt > clock.Instant(reportTimeout):
 			delete(a.nodes, name)
 		case state.site == key.Site:
-			ownLoad += state.inFlight[key]
-			ownAverage += state.averages[key]
+			ownLoad += state.load(key)
 			ownPeak = max(ownPeak, state.peaks[key])
 		case name != node:
 			if now < state.expiresAt {
@@ -169,10 +177,7 @@
 			}
 		}
 	}
-	if ownAverage > 0 {
-		ownLoad = int(math.Round(ownAverage))
-	}
-	return min(spareCapacity(a.capacity[key], ownLoad), usableSlots(a.capacity[key])-ownPeak) - reserved
+	return min(spareCapacity(a.capacity[key], int(math.Round(ownLoad))), usableSlots(a.capacity[key])-ownPeak) - reserved
 }
 
 // spareCapacity returns the usable capacity that a site's own load and its variation
--- a/internal/sites/sites_test.go
+++ b/internal/sites/sites_test.go
@@ -173,4 +173,23 @@
 			}
 		}
 	})
+
+	// Guards against a site whose nodes of an older build count for nothing beside newer ones.
+	It("counts the requests in flight of nodes that report no average beside the averages of others", func() {
+		clk = &clock.Manual{Now: time.Hour}
+		tree, err := sites.Build(regions, nil)
+		Expect(err).NotTo(HaveOccurred())
+		allocator = sites.NewAllocator(tree, clk)
+		allocator.Update(tree, map[sites.Key]int{{Service: "s", Site: "b"}: capacity})
+		clk.Sleep(2 * sites.LeaseDuration)
+		const older, newer = 6, 1
+		allocator.HandleReport("older", "b", []sites.Usage{{Service: "s", Site: "b", InFlight: older}})
+		allocator.HandleReport("newer", "b", []sites.Usage{{Service: "s", Site: "b", InFlight: newer, Average: newer, Peak: newer}})
+		leased := 0
+		for _, lease := range allocator.HandleReport("other", "a", []sites.Usage{{Service: "s", Wanted: capacity}}) {
+			leased += lease.Slots
+		}
+		Expect(leased).To(BeNumerically(">", 0))
+		Expect(leased + older + newer).To(BeNumerically("<=", capacity))
+	})
 })
